--- /dev/null
+++ b/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { runProgram } from "./program.js";
--- /dev/null
+++ b/config/src/fieldFailure.ts
@@ -0,0 +1,22 @@
+import { Failure, type resultCodes } from "@pistachioreel/result-code";
+import type { FilePosition } from "./filePosition.js";
+
+interface FieldFailureOptions extends FilePosition {
+    readonly file: string;
+    readonly field: string;
+    readonly found: string;
+    readonly accepted: string;
+}
+
+const MAX_FOUND_CHARACTERS = 80;
+
+/** Builds the failure of one field, with its place, what was found and what is accepted. */
+export function fieldFailure(code: keyof typeof resultCodes, opts: FieldFailureOptions): Failure {
+    const found = opts.found.length > MAX_FOUND_CHARACTERS
+        ? `${opts.found.slice(0, MAX_FOUND_CHARACTERS)}…`
+        : opts.found;
+    const place = `${opts.file}:${opts.line}:${opts.column}`;
+    return new Failure(code, `${place}: ${opts.field}: found ${found}, accepted: ${opts.accepted}`, {
+        details: { ...opts, found },
+    });
+}
--- /dev/null
+++ b/config/src/parseRules.ts
@@ -0,0 +1,57 @@
+import type { Failure } from "@pistachioreel/result-code";
+import { findNodeAtLocation, type JSONPath, parseTree } from "jsonc-parser";
+import { err, ok, type Result } from "neverthrow";
+import { fieldFailure } from "./fieldFailure.js";
+import type { Target } from "./inventory.js";
+import { locateOffset } from "./locateOffset.js";
+import { parseJsonFile } from "./parseJsonFile.js";
+import { type Rules, rulesSchema } from "./rules.js";
+
+/**
+ * Parses the rules file (JSON with comments) and checks its references.
+ *
+ * @param targets The inventory to check against, if it could be read.
+ * @returns The rules, or all failures with their places.
+ */
+export function parseRules(file: string, text: string, targets?: readonly Target[]): Result<Rules, Failure[]> {
+    return parseJsonFile(file, text, rulesSchema).andThen(rules => {
+        const failures = checkReferences(file, text, rules, targets);
+        return failures.length > 0 ? err(failures) : ok(rules);
+    });
+}
+
+function checkReferences(file: string, text: string, rules: Rules, targets?: readonly Target[]): Failure[] {
+    const root = parseTree(text);
+    const failures: Failure[] = [];
+    const check = (path: JSONPath, value: string, known: readonly string[]) => {
+        if (!known.includes(value)) {
+            const offset = (root && findNodeAtLocation(root, path)?.offset) ?? 0;
+            failures.push(fieldFailure("referenceUnknown", {
+                file,
+                ...locateOffset(text, offset),
+                field: path.join("."),
+                found: JSON.stringify(value),
+                accepted: known.length > 0 ? `one of ${known.join(", ")}` : "nothing, as none is defined",
+            }));
+        }
+    };
+    const services = Object.keys(rules.services);
+    const workspaces = Object.keys(rules.workspaces);
+    rules.routes.forEach((route, index) => {
+        check(["routes", index, "service"], route.service, services);
+        route.workspaces?.forEach((name, position) =>
+            check(["routes", index, "workspaces", position], name, workspaces)
+        );
+    });
+    if (targets !== undefined) {
+        const regions = [...new Set(targets.map(target => target.region))];
+        const supplied = [...new Set(targets.map(target => target.service))];
+        Object.keys(rules.regions).forEach(region => check(["regions", region], region, regions));
+        services.forEach(service => check(["services", service], service, supplied));
+        rules.links.forEach((link, index) => {
+            check(["links", index, "from"], link.from, regions);
+            check(["links", index, "to"], link.to, regions);
+        });
+    }
+    return failures;
+}
--- /dev/null
+++ b/demo/src/traffic.ts
@@ -0,0 +1,96 @@
+import { Caller, type CallerRecord, type Fleet } from "@pistachioreel/testing";
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import type { Deployment } from "./deployment.js";
+
+interface TrafficOptions {
+    readonly fleet: Fleet;
+    readonly deployment: Deployment;
+    /** Key of each workspace. */
+    readonly keys: ReadonlyMap<string, string>;
+    readonly durationMs: number;
+}
+
+const CALLERS = 24;
+const PAUSE_MS = 100;
+const MAX_TRIES = 4;
+const LOOKUP_LIFETIME_MS = 2_000;
+const HOSTS = 10;
+
+/** Callers that ask the system which entry hosts to use, send work and repeat what failed. */
+export class Traffic {
+    private readonly caller = new Caller();
+    private sequence = 0;
+
+    constructor(private readonly opts: TrafficOptions) {}
+
+    get records(): readonly CallerRecord[] {
+        return this.caller.records;
+    }
+
+    async run(): Promise<void> {
+        const endAt = Date.now() + this.opts.durationMs;
+        await Promise.all(Array.from({ length: CALLERS }, (_, index) => this.runCaller(index, endAt)));
+        await this.caller.close();
+    }
+
+    private async runCaller(index: number, endAt: number): Promise<void> {
+        let hosts: string[] = [];
+        let lookedUpAt = 0;
+        while (Date.now() < endAt) {
+            if (Date.now() - lookedUpAt > LOOKUP_LIFETIME_MS) {
+                hosts = await this.lookUp(index);
+                lookedUpAt = Date.now();
+            }
+            await this.sendWork(index, hosts);
+            await sleep(PAUSE_MS);
+        }
+    }
+
+    /** Any host answers lookups, so a caller goes on to the next one if a host is gone. */
+    private async lookUp(index: number): Promise<string[]> {
+        for (let offset = 0; offset < HOSTS; offset++) {
+            try {
+                const response = await request(
+                    `http://${this.opts.fleet.callersOf((index + offset) % HOSTS)}/v1/lookup`,
+                );
+                return (await response.body.json() as { hosts: string[]; }).hosts;
+            }
+            catch {
+                continue;
+            }
+        }
+        throw new Error("no entry host answers lookups");
+    }
+
+    private async sendWork(index: number, hosts: readonly string[]): Promise<void> {
+        const { deployment, keys } = this.opts;
+        const work = this.chooseWork();
+        const workspace = deployment.workspaces[index % deployment.workspaces.length] as string;
+        const marker = `${deployment.name}-${index}-${++this.sequence}`;
+        const { method, path, isIdempotent, bodyBytes } = work;
+        const body = bodyBytes > 0 ? randomBytes(bodyBytes) : undefined;
+        for (let tries = 0; tries < MAX_TRIES; tries++) {
+            const host = hosts[tries % hosts.length] as string;
+            const { outcome } = await this.caller.send({
+                host,
+                path,
+                marker,
+                method,
+                key: keys.get(workspace),
+                body,
+                isIdempotent,
+            });
+            if (outcome === "complete" || outcome === "wrong") {
+                return;
+            }
+        }
+    }
+
+    private chooseWork(): Deployment["work"][number] {
+        const { work } = this.opts.deployment;
+        let left = Math.random() * work.reduce((sum, { weight }) => sum + weight, 0);
+        return work.find(({ weight }) => (left -= weight) < 0) ?? work[0] as Deployment["work"][number];
+    }
+}
--- /dev/null
+++ b/documents/src/documentRepository.ts
@@ -0,0 +1,156 @@
+import type { ObjectStore } from "@pistachioreel/platform-store";
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { digestContent } from "./digestContent.js";
+import type { DocumentName } from "./documentName.js";
+import { type DocumentPointer, documentPointerSchema, type FleetDocument } from "./fleetDocument.js";
+import { splitContent } from "./splitContent.js";
+
+interface StoredPointer {
+    readonly pointer: DocumentPointer;
+    /** Version of the pointer object in the store. */
+    readonly objectVersion: string;
+}
+
+interface CommitOptions {
+    /** The document version that the change is based on; 0 if there is none yet. */
+    readonly basedOn: number;
+    /** Unique name of this commit. */
+    readonly changeId: string;
+}
+
+const MAX_PART_BYTES = 512 * 1024;
+
+/** Reads and commits documents: a pointer object that is updated atomically, and immutable parts. */
+export class DocumentRepository {
+    constructor(private readonly store: ObjectStore) {}
+
+    /** Version and digest in force, without the content; `undefined` if there is no document yet. */
+    async readPointer(name: DocumentName): Promise<Result<DocumentPointer | undefined, Failure>> {
+        return (await this.readStoredPointer(name)).map(stored => stored?.pointer);
+    }
+
+    /** The document in force; `undefined` if there is none yet. */
+    async read(name: DocumentName): Promise<Result<FleetDocument | undefined, Failure>> {
+        const stored = await this.readStoredPointer(name);
+        if (stored.isErr()) {
+            return err(stored.error);
+        }
+        return stored.value === undefined ? ok(undefined) : this.readParts(name, stored.value.pointer);
+    }
+
+    /**
+     * Commits new content. Committing the content in force again changes nothing and returns its version.
+     *
+     * Failures: `storeConflict` if the document is no longer at `basedOn`, `commitUnknown` if the outcome of the write
+     * cannot be read back, and those of the store.
+     */
+    async commit(name: DocumentName, content: string, opts: CommitOptions): Promise<Result<number, Failure>> {
+        const current = await this.readStoredPointer(name);
+        if (current.isErr()) {
+            return err(current.error);
+        }
+        const digest = digestContent(content);
+        if (current.value?.pointer.digest === digest) {
+            return ok(current.value.pointer.version);
+        }
+        const found = current.value?.pointer.version ?? 0;
+        if (found !== opts.basedOn) {
+            return err(conflict(name, opts.basedOn, found));
+        }
+        const parts = await this.writeParts(name, content);
+        if (parts.isErr()) {
+            return err(parts.error);
+        }
+        const pointer = { version: found + 1, digest, parts: parts.value, changeId: opts.changeId };
+        return this.writePointer(name, pointer, current.value?.objectVersion);
+    }
+
+    private async readStoredPointer(name: DocumentName): Promise<Result<StoredPointer | undefined, Failure>> {
+        const object = await this.store.get(pointerName(name));
+        return object.andThen(found => {
+            if (found === undefined) {
+                return ok(undefined);
+            }
+            try {
+                const pointer = documentPointerSchema.parse(JSON.parse(found.value));
+                return ok({ pointer, objectVersion: found.version });
+            }
+            catch (cause) {
+                return err(new Failure("documentDamaged", `the pointer of ${name} is not valid`, { cause }));
+            }
+        });
+    }
+
+    private async readParts(name: DocumentName, pointer: DocumentPointer): Promise<Result<FleetDocument, Failure>> {
+        const parts = await Promise.all(pointer.parts.map(part => this.store.get(partName(name, part))));
+        let content = "";
+        for (const part of parts) {
+            if (part.isErr()) {
+                return err(part.error);
+            }
+            content += part.value?.value ?? "";
+        }
+        if (digestContent(content) !== pointer.digest) {
+            return err(new Failure("documentDamaged", `the parts of ${name} do not match the digest`));
+        }
+        return ok({ name, version: pointer.version, digest: pointer.digest, content });
+    }
+
+    private async writeParts(name: DocumentName, content: string): Promise<Result<string[], Failure>> {
+        const digests: string[] = [];
+        for (const part of splitContent(content, MAX_PART_BYTES)) {
+            const digest = digestContent(part);
+            const written = await this.store.put(partName(name, digest), part, { absent: true });
+            // Parts are named by their content, so one that exists already is the same part.
+            if (written.isErr() && written.error.code !== "storeConflict") {
+                return err(written.error);
+            }
+            digests.push(digest);
+        }
+        return ok(digests);
+    }
+
+    private async writePointer(
+        name: DocumentName,
+        pointer: DocumentPointer,
+        objectVersion: string | undefined,
+    ): Promise<Result<number, Failure>> {
+        const condition = objectVersion === undefined ? { absent: true } as const : { version: objectVersion };
+        const written = await this.store.put(pointerName(name), JSON.stringify(pointer), condition);
+        if (written.isOk()) {
+            return ok(pointer.version);
+        }
+        // A lost reply leaves the outcome open, and a repeated write after one conflicts with itself.
+        const readBack = await this.readPointer(name);
+        if (readBack.isErr()) {
+            return err(
+                new Failure("commitUnknown", `the commit of ${name} may have taken effect`, { cause: written.error }),
+            );
+        }
+        if (readBack.value?.changeId === pointer.changeId) {
+            return ok(pointer.version);
+        }
+        if (written.error.code === "storeConflict") {
+            return err(conflict(name, pointer.version - 1, readBack.value?.version ?? 0));
+        }
+        // The write may still be on its way to the store, so its absence now does not prove that it failed.
+        return err(
+            new Failure("commitUnknown", `the commit of ${name} has not shown so far`, { cause: written.error }),
+        );
+    }
+}
+
+function pointerName(name: DocumentName): string {
+    return `${name}/current`;
+}
+
+function partName(name: DocumentName, digest: string): string {
+    return `${name}/parts/${digest}`;
+}
+
+function conflict(name: DocumentName, basedOn: number, found: number): Failure {
+    return new Failure("storeConflict", `${name} is at version ${found}, the change is based on ${basedOn}`, {
+        details: { basedOn, found },
+    });
+}
--- /dev/null
+++ b/documents/src/index.ts
@@ -0,0 +1,5 @@
+export { digestContent } from "./digestContent.js";
+export type { DocumentName } from "./documentName.js";
+export { DocumentReplica } from "./documentReplica.js";
+export { DocumentRepository } from "./documentRepository.js";
+export { type FleetDocument, fleetDocumentSchema } from "./fleetDocument.js";
--- /dev/null
+++ b/entry/src/adminListener.ts
@@ -0,0 +1,55 @@
+import { getRequestListener } from "@hono/node-server";
+import type { HttpObjectStore } from "@pistachioreel/platform-store";
+import type { Timeline } from "@pistachioreel/timeline";
+import { Hono } from "hono";
+import { createServer, type Server } from "node:http";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { FleetState } from "./fleetState.js";
+
+interface AdminListenerOptions {
+    readonly hostId: string;
+    readonly availabilityZone: string;
+    readonly incarnation: string;
+    readonly state: FleetState;
+    readonly store: HttpObjectStore;
+    readonly metrics: EntryMetrics;
+    readonly timeline: Timeline;
+    readonly isReady: () => boolean;
+}
+
+/** Listener for operators and monitoring: health, readiness, metrics, status and the time line. */
+export function createAdminListener(opts: AdminListenerOptions): Server {
+    const app = new Hono();
+    app.get("/healthz", context => context.text("ok\n"));
+    app.get("/readyz", context => opts.isReady() ? context.text("ready\n") : context.text("not ready\n", 503));
+    app.get("/metrics", async context => {
+        updateGauges(opts);
+        return context.text(await opts.metrics.registry.metrics());
+    });
+    app.get("/v1/status", context => context.json(statusOf(opts)));
+    app.get("/v1/timeline", context => context.json(opts.timeline.snapshot()));
+    const listener = getRequestListener(app.fetch);
+    return createServer((request, response) => {
+        listener(request, response).catch((cause: Error) => response.destroy(cause));
+    });
+}
+
+function statusOf({ hostId, availabilityZone, incarnation, state, store, isReady }: AdminListenerOptions) {
+    return {
+        hostId,
+        availabilityZone,
+        incarnation,
+        ready: isReady(),
+        documents: { config: state.versionOf("config"), keys: state.versionOf("keys"), plan: state.versionOf("plan") },
+        storeCalls: store.calls,
+    };
+}
+
+function updateGauges({ metrics, state, store }: AdminListenerOptions): void {
+    for (const document of ["config", "keys", "plan", "roster"] as const) {
+        metrics.documentVersion.set({ document }, state.versionOf(document));
+    }
+    for (const [kind, calls] of Object.entries(store.calls)) {
+        metrics.storeCalls.set({ kind }, calls);
+    }
+}
--- /dev/null
+++ b/entry/src/callerListener.ts
@@ -0,0 +1,236 @@
+import type { Configuration, Route } from "@pistachioreel/config";
+import type { Delivery } from "@pistachioreel/delivery";
+import { EntryHostRanking } from "@pistachioreel/lookup";
+import { Failure } from "@pistachioreel/result-code";
+import type { Timeline } from "@pistachioreel/timeline";
+import { err, ok, type Result } from "neverthrow";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { FleetState } from "./fleetState.js";
+import { refuse } from "./refuse.js";
+import type { WorkspaceAdmission } from "./workspaceAdmission.js";
+
+interface CallerListenerOptions {
+    readonly hostId: string;
+    readonly availabilityZone: string;
+    readonly region: string;
+    readonly incarnation: string;
+    readonly state: FleetState;
+    readonly admission: WorkspaceAdmission;
+    readonly delivery: Delivery;
+    readonly metrics: EntryMetrics;
+    readonly timeline: Timeline;
+    readonly now: () => number;
+}
+
+interface AdmittedRequest {
+    readonly route: Route;
+    readonly configuration: Configuration;
+    readonly workspace: string | undefined;
+    readonly key: string | undefined;
+}
+
+const LOOKUP_PATH = "/v1/lookup";
+const LOOKUP_LIFETIME_SECONDS = 10;
+const HEADERS_TIMEOUT_MS = 5_000;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const MAX_HEADER_BYTES = 16 * 1024;
+const KEY_PATTERN = /prk_[\w-]{8,}/;
+const MS_PER_SECOND = 1_000;
+
+/** Listener for callers: lookups, and requests that are delivered to targets. */
+export class CallerListener {
+    readonly server: Server;
+    private sequence = 0;
+    private leaving = false;
+
+    constructor(private readonly opts: CallerListenerOptions) {
+        this.server = createServer({
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            maxHeaderSize: MAX_HEADER_BYTES,
+            requestTimeout: 0,
+        }, (request, response) => {
+            this.handle(request, response).catch((cause: Error) => response.destroy(cause));
+        });
+        this.server.on("clientError", rejectMalformed);
+    }
+
+    /** Stops taking connections; responses from now on ask callers to leave. Resolves when all requests have ended. */
+    async drain(): Promise<void> {
+        this.leaving = true;
+        await new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeIdleConnections();
+        });
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (this.leaving) {
+            response.setHeader("connection", "close");
+        }
+        if (request.method === "GET" && pathOf(request) === LOOKUP_PATH) {
+            this.answerLookup(response);
+            return;
+        }
+        const id = `${this.opts.hostId}-${this.opts.incarnation}-${++this.sequence}`;
+        const startedAt = this.opts.now();
+        const admitted = this.admit(request);
+        if (admitted.isErr()) {
+            this.refuseRequest(request, response, id, admitted.error);
+            return;
+        }
+        await this.deliver(request, response, id, startedAt, admitted.value);
+    }
+
+    private async deliver(
+        request: IncomingMessage,
+        response: ServerResponse,
+        id: string,
+        startedAt: number,
+        { route, configuration, workspace, key }: AdmittedRequest,
+    ): Promise<void> {
+        const service = configuration.rules.services[route.service];
+        const deadlineMs = Math.min(service?.deadlineMs ?? 0, callerDeadlineMs(request));
+        const result = await this.opts.delivery.deliver({
+            id,
+            workspace,
+            service: route.service,
+            isIdempotent: route.idempotent,
+            deadlineAt: startedAt + deadlineMs,
+            attemptTimeoutMs: service?.attemptTimeoutMs ?? deadlineMs,
+            key,
+            request,
+            response,
+        });
+        this.opts.metrics.latency.observe({ route: route.path }, (this.opts.now() - startedAt) / MS_PER_SECOND);
+        if (result.isErr()) {
+            this.refuseRequest(request, response, id, result.error, workspace);
+            return;
+        }
+        const { target, status = 0, attempts } = result.value;
+        this.opts.metrics.requests.inc({ workspace: workspace ?? "", code: 0 });
+        this.opts.timeline.record("request-complete", { request: id, workspace, fields: { target, status, attempts } });
+    }
+
+    private admit(request: IncomingMessage): Result<AdmittedRequest, Failure> {
+        const { configuration } = this.opts.state;
+        if (configuration === undefined) {
+            return err(new Failure("notReady"));
+        }
+        if (KEY_PATTERN.test(decodeLoosely(request.url ?? ""))) {
+            return err(new Failure("keyInQuery"));
+        }
+        const route = configuration.findRoute(request.method ?? "", pathOf(request));
+        if (route === undefined) {
+            return err(new Failure("routeUnknown"));
+        }
+        if (Number(request.headers["content-length"] ?? 0) > route.maxBodyBytes) {
+            return err(new Failure("bodyTooLarge"));
+        }
+        if (!route.idempotent && request.headers["idempotency-key"] === undefined) {
+            return err(new Failure("idempotencyKeyMissing"));
+        }
+        if (route.open) {
+            return ok({ route, configuration, workspace: undefined, key: bearerKey(request) });
+        }
+        return this.authenticate(request, route).map(({ workspace, key }) => ({
+            route,
+            configuration,
+            workspace,
+            key,
+        }));
+    }
+
+    private authenticate(request: IncomingMessage, route: Route): Result<{ workspace: string; key: string; }, Failure> {
+        const key = bearerKey(request);
+        if (key === undefined) {
+            return err(new Failure("keyMissing"));
+        }
+        const workspace = this.opts.state.keyVerifier.verify(key);
+        if (workspace === undefined) {
+            return err(new Failure("keyRejected"));
+        }
+        if (route.workspaces !== undefined && !route.workspaces.includes(workspace)) {
+            return err(new Failure("workspaceMismatch"));
+        }
+        const { admitted, retryAfterSeconds } = this.opts.admission.admit(workspace);
+        return admitted
+            ? ok({ workspace, key })
+            : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+    }
+
+    private refuseRequest(
+        request: IncomingMessage,
+        response: ServerResponse,
+        requestId: string,
+        failure: Failure,
+        workspace?: string,
+    ): void {
+        this.opts.metrics.requests.inc({ workspace: workspace ?? "", code: failure.number });
+        const fields = { code: failure.number, reason: failure.code };
+        this.opts.timeline.record("request-refused", { request: requestId, workspace, fields });
+        if (response.headersSent || response.destroyed) {
+            return;
+        }
+        // An unread body would be parsed as the next request of the connection.
+        if (!request.complete) {
+            response.setHeader("connection", "close");
+        }
+        const retryAfter = failure.details["retryAfterSeconds"];
+        refuse(response, failure, {
+            requestId,
+            ...(typeof retryAfter === "number" ? { retryAfterSeconds: retryAfter } : {}),
+        });
+    }
+
+    private answerLookup(response: ServerResponse): void {
+        const { state, availabilityZone, region } = this.opts;
+        const hosts = new EntryHostRanking(state.hosts).rank({ availabilityZone, region });
+        const body = JSON.stringify({ hosts, lifetimeSeconds: LOOKUP_LIFETIME_SECONDS });
+        response.writeHead(200, {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            "cache-control": `max-age=${LOOKUP_LIFETIME_SECONDS}`,
+        });
+        response.end(body);
+    }
+}
+
+function pathOf(request: IncomingMessage): string {
+    return (request.url ?? "/").split("?", 1)[0] as string;
+}
+
+function bearerKey(request: IncomingMessage): string | undefined {
+    return /^Bearer (\S+)$/i.exec(request.headers.authorization ?? "")?.[1];
+}
+
+function callerDeadlineMs(request: IncomingMessage): number {
+    const value = Number(request.headers["x-deadline-ms"]);
+    return value > 0 ? value : Infinity;
+}
+
+function decodeLoosely(url: string): string {
+    try {
+        return decodeURIComponent(url);
+    }
+    catch {
+        return url;
+    }
+}
+
+function rejectMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (!socket.writable) {
+        return;
+    }
+    const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
+    const isSlow = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
+    const [status, failure] = isTooLarge
+        ? ["431 Request Header Fields Too Large", new Failure("headerTooLarge")]
+        : isSlow
+        ? ["408 Request Timeout", new Failure("requestTimeout")]
+        : ["400 Bad Request", new Failure("requestMalformed")];
+    const head = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\nx-not-run: 1`;
+    socket.end(`${head}\r\nx-result-code: ${failure.number}\r\n\r\n`);
+}
--- /dev/null
+++ b/entry/src/entryHost.ts
@@ -0,0 +1,126 @@
+import type { Settings } from "@pistachioreel/config";
+import { Delivery, TargetPools } from "@pistachioreel/delivery";
+import { Logger } from "@pistachioreel/logging";
+import { HttpObjectStore } from "@pistachioreel/platform-store";
+import { NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
+import { Timeline } from "@pistachioreel/timeline";
+import { randomBytes } from "node:crypto";
+import type { Server } from "node:http";
+import { createAdminListener } from "./adminListener.js";
+import { CallerListener } from "./callerListener.js";
+import { DocumentWatch } from "./documentWatch.js";
+import { EntryMetrics } from "./entryMetrics.js";
+import { FleetState } from "./fleetState.js";
+import { pollHostList } from "./hostListPoll.js";
+import { monotonicNow } from "./monotonicNow.js";
+import { WorkspaceAdmission } from "./workspaceAdmission.js";
+
+const INCARNATION_BYTES = 6;
+
+/** One entry host: it takes requests from callers and delivers them to targets. */
+export class EntryHost {
+    private readonly state = new FleetState();
+    private readonly metrics = new EntryMetrics();
+    private readonly pools = new TargetPools();
+    private readonly stopping = new AbortController();
+    private readonly logger: Logger;
+    private readonly store: HttpObjectStore;
+    private readonly callers: CallerListener;
+    private readonly admin: Server;
+    private leaving = false;
+
+    constructor(private readonly settings: Settings) {
+        const { hostId, availabilityZone, region } = settings;
+        const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+        const timeline = new Timeline(hostId, incarnation);
+        this.logger = new Logger(hostId, { level: settings.logLevel });
+        this.store = new HttpObjectStore(settings.store.url);
+        const slots = new SlotLedger();
+        const { state, metrics } = this;
+        const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        this.callers = new CallerListener({
+            ...shared,
+            admission: new WorkspaceAdmission(state, monotonicNow),
+            delivery: new Delivery({
+                pools: this.pools,
+                chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
+                slots,
+                targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+                now: monotonicNow,
+            }),
+            now: monotonicNow,
+        });
+        this.admin = createAdminListener({ ...shared, store: this.store, isReady: () => this.isReady });
+        state.onChange(name => {
+            const fields = { document: name, version: state.versionOf(name) };
+            timeline.record("document-in-force", { fields });
+            this.logger.info({ event: "document-in-force", fields });
+            if (name === "config") {
+                this.retainPools();
+            }
+        });
+    }
+
+    /** Ready while a configuration is in force and the host is not leaving. */
+    get isReady(): boolean {
+        return !this.leaving && this.state.configuration !== undefined;
+    }
+
+    /** Opens the listeners and starts to follow the store. Rejects if an address is in use. */
+    async start(): Promise<void> {
+        const { callers, admin, hostId } = this.settings;
+        await listen(this.admin, admin);
+        await listen(this.callers.server, callers);
+        const { store, state, logger } = this;
+        const { signal } = this.stopping;
+        void new DocumentWatch({ store, state, logger, signal }).run();
+        void pollHostList(store, state, signal);
+        this.logger.info({
+            event: "host-started",
+            fields: { host: hostId, callers: `${callers.address}:${callers.port}` },
+        });
+    }
+
+    /** Lets running requests finish within the drain time and closes everything. Returns whether all of them finished. */
+    async stop(): Promise<boolean> {
+        this.leaving = true;
+        this.logger.info({ event: "host-leaving" });
+        const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
+        this.stopping.abort();
+        this.callers.server.closeAllConnections();
+        this.admin.close();
+        this.admin.closeAllConnections();
+        await this.store.close();
+        await withTimeout(this.pools.close(), this.settings.drainTimeoutMs);
+        this.logger.info({ event: "host-stopped", fields: { drained } });
+        return drained;
+    }
+
+    private retainPools(): void {
+        const ids = new Set(this.state.configuration?.targets.map(target => target.id));
+        this.pools.retain(ids).catch((error: Error) => {
+            this.logger.warn({ event: "pool-close-failed", fields: { message: error.message } });
+        });
+    }
+}
+
+function listen(server: Server, { address, port }: { address: string; port: number; }): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, address, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+}
+
+/** Whether the work ended in time. */
+async function withTimeout(work: Promise<void>, timeoutMs: number): Promise<boolean> {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<false>(resolve => {
+        timer = setTimeout(() => resolve(false), timeoutMs);
+    });
+    const ended = await Promise.race([work.then(() => true), timeout]);
+    clearTimeout(timer);
+    return ended;
+}
--- /dev/null
+++ b/entry/src/entryMetrics.ts
@@ -0,0 +1,37 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_SECONDS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Metrics of an entry host. */
+export class EntryMetrics {
+    readonly registry = new Registry();
+    readonly requests = new Counter({
+        name: "pistachioreel_requests_total",
+        help: "Requests by workspace and result code; code 0 is a complete response",
+        labelNames: ["workspace", "code"],
+        registers: [this.registry],
+    });
+    readonly latency = new Histogram({
+        name: "pistachioreel_request_seconds",
+        help: "Time from the head of a request to the end of its response",
+        labelNames: ["route"],
+        buckets: LATENCY_BUCKETS_SECONDS,
+        registers: [this.registry],
+    });
+    readonly documentVersion = new Gauge({
+        name: "pistachioreel_document_version",
+        help: "Version of each document in force",
+        labelNames: ["document"],
+        registers: [this.registry],
+    });
+    readonly storeCalls = new Gauge({
+        name: "pistachioreel_store_calls",
+        help: "Calls to the store since the start",
+        labelNames: ["kind"],
+        registers: [this.registry],
+    });
+
+    constructor() {
+        collectDefaultMetrics({ register: this.registry });
+    }
+}
--- /dev/null
+++ b/entry/src/index.ts
@@ -0,0 +1,1 @@
+export { EntryHost } from "./entryHost.js";
--- /dev/null
+++ b/keys/src/keyLedger.ts
@@ -0,0 +1,64 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { hashKey } from "./hashKey.js";
+import { type KeyRecord, keyRecordSchema } from "./keyRecord.js";
+import { mintKey } from "./mintKey.js";
+
+const contentSchema = z.object({ keys: z.array(keyRecordSchema) });
+
+interface KeyIdentity {
+    readonly id: string;
+    readonly now: Date;
+}
+
+interface IssuedKey {
+    readonly ledger: KeyLedger;
+    /** Shown to the operator once; only its hash is kept. */
+    readonly key: string;
+}
+
+/** All keys of all workspaces. Immutable; each change gives a new ledger. A withdrawn key is never issued again. */
+export class KeyLedger {
+    constructor(readonly keys: readonly KeyRecord[] = []) {}
+
+    static fromContent(content: string): Result<KeyLedger, Failure> {
+        try {
+            return ok(new KeyLedger(contentSchema.parse(JSON.parse(content)).keys));
+        }
+        catch (cause) {
+            return err(new Failure("documentDamaged", "the stored key ledger does not match its schema", { cause }));
+        }
+    }
+
+    /** Content for the stored document. */
+    toContent(): string {
+        return JSON.stringify({ keys: this.keys });
+    }
+
+    /** Adds a new key; a workspace can have several, which allows rotation without a gap. */
+    issue(workspace: string, identity: KeyIdentity): IssuedKey {
+        const key = mintKey();
+        const record: KeyRecord = {
+            id: identity.id,
+            workspace,
+            hash: hashKey(key).toString("hex"),
+            state: "issued",
+            changedAt: identity.now.toISOString(),
+        };
+        return { ledger: new KeyLedger([...this.keys, record]), key };
+    }
+
+    /** Withdraws a key. Withdrawing it again changes nothing. Failure: `keyUnknown`. */
+    withdraw(identity: KeyIdentity): Result<KeyLedger, Failure> {
+        const record = this.keys.find(key => key.id === identity.id);
+        if (record === undefined) {
+            return err(new Failure("keyUnknown", `no key has the id ${identity.id}`));
+        }
+        if (record.state === "withdrawn") {
+            return ok(this);
+        }
+        const withdrawn: KeyRecord = { ...record, state: "withdrawn", changedAt: identity.now.toISOString() };
+        return ok(new KeyLedger(this.keys.map(key => key === record ? withdrawn : key)));
+    }
+}
--- /dev/null
+++ b/limits/src/index.ts
@@ -0,0 +1,1 @@
+export { TokenBucket } from "./tokenBucket.js";
--- /dev/null
+++ b/logging/src/logger.ts
@@ -0,0 +1,42 @@
+import loglevel from "loglevel";
+import type { LogEvent } from "./logEvent.js";
+import { renderLine } from "./renderLine.js";
+
+type Level = "debug" | "info" | "warn" | "error";
+
+interface LoggerOptions {
+    readonly level?: Level;
+    readonly now?: () => Date;
+    /** Receives each rendered line; standard error by default. */
+    readonly write?: (line: string) => void;
+}
+
+/** Writes typed events as key=value lines. */
+export class Logger {
+    private readonly log: loglevel.Logger;
+    private readonly now: () => Date;
+
+    constructor(name: string, opts: LoggerOptions = {}) {
+        this.now = opts.now ?? (() => new Date());
+        const write = opts.write ?? (line => process.stderr.write(`${line}\n`));
+        this.log = loglevel.getLogger(name);
+        this.log.methodFactory = () => (line: string) => write(line);
+        this.log.setLevel(opts.level ?? "info", false);
+    }
+
+    debug(event: LogEvent): void {
+        this.log.debug(renderLine("debug", event, this.now()));
+    }
+
+    info(event: LogEvent): void {
+        this.log.info(renderLine("info", event, this.now()));
+    }
+
+    warn(event: LogEvent): void {
+        this.log.warn(renderLine("warn", event, this.now()));
+    }
+
+    error(event: LogEvent): void {
+        this.log.error(renderLine("error", event, this.now()));
+    }
+}
--- /dev/null
+++ b/logging/src/renderLine.ts
@@ -0,0 +1,17 @@
+import type { LogEvent } from "./logEvent.js";
+
+/** Renders an event as one line of key=value pairs. Values with spaces, quotes or `=` are quoted as JSON strings. */
+export function renderLine(level: string, event: LogEvent, time: Date): string {
+    const pairs = [`time=${time.toISOString()}`, `level=${level}`, `event=${event.event}`];
+    for (const [name, value] of Object.entries(event.fields ?? {})) {
+        if (value !== undefined) {
+            pairs.push(`${name}=${renderValue(value)}`);
+        }
+    }
+    return pairs.join(" ");
+}
+
+function renderValue(value: string | number | boolean): string {
+    const text = String(value);
+    return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/lookup/src/index.ts
@@ -0,0 +1,1 @@
+export { EntryHostRanking } from "./entryHostRanking.js";
--- /dev/null
+++ b/platform-store/src/hostList.ts
@@ -0,0 +1,24 @@
+import type { Failure } from "@pistachioreel/result-code";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+
+/** Schema of one host on the platform's list. */
+export const listedHostSchema = z.object({
+    id: z.string(),
+    /** `address:port` of the listener for callers. */
+    callers: z.string(),
+    /** `address:port` of the listener for other hosts. */
+    peers: z.string(),
+    /** `address:port` of the admin listener. */
+    admin: z.string(),
+    availabilityZone: z.string(),
+    region: z.string(),
+    state: z.enum(["live", "leaving"]),
+});
+
+export type ListedHost = z.infer<typeof listedHostSchema>;
+
+/** The platform's list of live and leaving hosts, which lags behind. */
+export interface HostList {
+    hosts(): Promise<Result<readonly ListedHost[], Failure>>;
+}
--- /dev/null
+++ b/platform-store/src/httpObjectStore.ts
@@ -0,0 +1,147 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { type Dispatcher, Pool } from "undici";
+import { z } from "zod";
+import type { CallCount } from "./callCount.js";
+import { type HostList, type ListedHost, listedHostSchema } from "./hostList.js";
+import type { ObjectStore, StoreChange, StoredObject, WriteCondition } from "./objectStore.js";
+
+interface HttpObjectStoreOptions {
+    /** Time that a call may take, in ms. */
+    readonly timeoutMs?: number;
+    readonly connections?: number;
+}
+
+interface Answer {
+    readonly status: number;
+    readonly version: string;
+    readonly text: string;
+}
+
+const DEFAULT_TIMEOUT_MS = 2_000;
+const DEFAULT_CONNECTIONS = 16;
+/** A watch that is this late has gone silent and is closed. */
+const WATCH_GRACE_MS = 2_000;
+const MAX_VALUE_BYTES = 1_000_000;
+
+const changeSchema = z.object({ revision: z.number(), names: z.array(z.string()) });
+const namesSchema = z.array(z.string());
+const hostsSchema = z.array(listedHostSchema);
+
+/** Client of the platform's store and host list over HTTP. */
+export class HttpObjectStore implements ObjectStore, HostList {
+    /** Calls made so far. */
+    readonly calls: CallCount = { read: 0, write: 0, watch: 0 };
+    private readonly pool: Pool;
+    private readonly timeoutMs: number;
+
+    constructor(url: string, opts: HttpObjectStoreOptions = {}) {
+        this.pool = new Pool(url, { connections: opts.connections ?? DEFAULT_CONNECTIONS });
+        this.timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    }
+
+    async get(name: string): Promise<Result<StoredObject | undefined, Failure>> {
+        this.calls.read++;
+        const answer = await this.call({ method: "GET", path: objectPath(name) });
+        return answer.andThen(({ status, text: value, version }) => {
+            if (status === 404) {
+                return ok(undefined);
+            }
+            return status === 200 ? ok({ value, version }) : err(rejected(status));
+        });
+    }
+
+    async put(name: string, value: string, condition: WriteCondition): Promise<Result<string, Failure>> {
+        if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
+            return err(new Failure("valueTooLarge", `${name} has more than ${MAX_VALUE_BYTES} bytes`));
+        }
+        this.calls.write++;
+        const headers = "absent" in condition ? { "if-none-match": "*" } : { "if-match": condition.version };
+        const answer = await this.call({ method: "PUT", path: objectPath(name), headers, body: value });
+        return answer.andThen(({ status, version }) => {
+            if (status === 412) {
+                return err(new Failure("storeConflict", `${name} was written by somebody else`));
+            }
+            return status === 200 ? ok(version) : err(rejected(status));
+        });
+    }
+
+    async delete(name: string, version: string): Promise<Result<void, Failure>> {
+        this.calls.write++;
+        const answer = await this.call({ method: "DELETE", path: objectPath(name), headers: { "if-match": version } });
+        return answer.andThen(({ status }) => {
+            if (status === 412) {
+                return err(new Failure("storeConflict", `${name} was written by somebody else`));
+            }
+            return status === 204 || status === 404 ? ok(undefined) : err(rejected(status));
+        });
+    }
+
+    async list(prefix: string): Promise<Result<readonly string[], Failure>> {
+        this.calls.read++;
+        return this.callJson(`/v1/objects?prefix=${encodeURIComponent(prefix)}`, namesSchema, this.timeoutMs);
+    }
+
+    async watch(prefix: string, after: number, waitMs: number): Promise<Result<StoreChange, Failure>> {
+        this.calls.watch++;
+        const query = `prefix=${encodeURIComponent(prefix)}&after=${after}&wait=${waitMs}`;
+        return this.callJson(`/v1/watch?${query}`, changeSchema, waitMs + WATCH_GRACE_MS);
+    }
+
+    async hosts(): Promise<Result<readonly ListedHost[], Failure>> {
+        this.calls.read++;
+        return this.callJson("/v1/hosts", hostsSchema, this.timeoutMs);
+    }
+
+    /** Ends all calls and connections. */
+    async close(): Promise<void> {
+        await this.pool.destroy();
+    }
+
+    private async callJson<S extends z.ZodType>(
+        path: string,
+        schema: S,
+        timeoutMs: number,
+    ): Promise<Result<z.output<S>, Failure>> {
+        const answer = await this.call({ method: "GET", path }, timeoutMs);
+        return answer.andThen(({ status, text }): Result<z.output<S>, Failure> => {
+            if (status !== 200) {
+                return err(rejected(status));
+            }
+            try {
+                return ok(schema.parse(JSON.parse(text)));
+            }
+            catch (cause) {
+                return err(new Failure("storeRejected", "the answer of the store has an unknown form", { cause }));
+            }
+        });
+    }
+
+    private async call(
+        request: Pick<Dispatcher.RequestOptions, "method" | "path" | "headers" | "body">,
+        timeoutMs = this.timeoutMs,
+    ): Promise<Result<Answer, Failure>> {
+        try {
+            const { statusCode: status, headers, body } = await this.pool.request({
+                ...request,
+                signal: AbortSignal.timeout(timeoutMs),
+                headersTimeout: timeoutMs,
+                bodyTimeout: timeoutMs,
+            });
+            return ok({ status, version: String(headers["etag"] ?? ""), text: await body.text() });
+        }
+        catch (cause) {
+            return err(new Failure("storeUnreachable", `no answer from the store to ${request.method}`, { cause }));
+        }
+    }
+}
+
+function objectPath(name: string): string {
+    return `/v1/objects/${encodeURIComponent(name)}`;
+}
+
+function rejected(status: number): Failure {
+    return status >= 500
+        ? new Failure("storeUnreachable", `the store answered ${status}`)
+        : new Failure("storeRejected", `the store answered ${status}`);
+}
--- /dev/null
+++ b/result-code/src/index.ts
@@ -0,0 +1,2 @@
+export { Failure } from "./failure.js";
+export { resultCodes } from "./resultCodes.js";
--- /dev/null
+++ b/steering/src/slotLedger.ts
@@ -0,0 +1,36 @@
+import type { TargetCandidate } from "./targetCandidate.js";
+
+/** Counts the requests that this host has running on each target. */
+export class SlotLedger {
+    private readonly running = new Map<string, number>();
+
+    runningOn(targetId: string): number {
+        return this.running.get(targetId) ?? 0;
+    }
+
+    hasFreeSlot(target: TargetCandidate): boolean {
+        return this.runningOn(target.id) < target.slots;
+    }
+
+    /** Takes a slot until the returned function is called; further calls of it do nothing. */
+    take(targetId: string): () => void {
+        this.running.set(targetId, this.runningOn(targetId) + 1);
+        let released = false;
+        return () => {
+            if (!released) {
+                released = true;
+                this.release(targetId);
+            }
+        };
+    }
+
+    private release(targetId: string): void {
+        const left = this.runningOn(targetId) - 1;
+        if (left > 0) {
+            this.running.set(targetId, left);
+        }
+        else {
+            this.running.delete(targetId);
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/checkRecords.ts
@@ -0,0 +1,51 @@
+import type { CallerRecord } from "./callerRecord.js";
+import type { TargetRecord } from "./targetRecord.js";
+
+/** Counts over both sides' records; the last five must be 0. */
+export interface RecordCheck {
+    readonly requests: number;
+    readonly complete: number;
+    readonly refusedNotRun: number;
+    readonly unknown: number;
+    /** Non-idempotent work that ran more than once. */
+    readonly duplicated: number;
+    /** Answers that a caller got and no target finished. */
+    readonly lost: number;
+    readonly wrongAnswer: number;
+    /** Work that was refused as not run on every try and yet ran. */
+    readonly falseNotRun: number;
+    /** Requests that reached a target with the caller's key. */
+    readonly leakedKeys: number;
+}
+
+/** Compares what callers saw with what targets ran. */
+export function checkRecords(
+    callers: readonly CallerRecord[],
+    targets: readonly TargetRecord[],
+    keys: readonly string[] = [],
+): RecordCheck {
+    const starts = targets.filter(record => record.event === "start");
+    const runs = countBy(starts.map(record => record.marker));
+    const finished = new Set(targets.filter(record => record.event === "end").map(record => record.marker));
+    const nonIdempotent = new Set(callers.filter(record => !record.isIdempotent).map(record => record.marker));
+    const outcomes = countBy(callers.map(record => record.outcome));
+    const maybeRun = new Set(callers.filter(record => record.outcome !== "not-run").map(record => record.marker));
+    const refused = new Set(callers.filter(record => record.outcome === "not-run").map(record => record.marker));
+    return {
+        requests: callers.length,
+        complete: outcomes.get("complete") ?? 0,
+        refusedNotRun: outcomes.get("not-run") ?? 0,
+        unknown: outcomes.get("unknown") ?? 0,
+        duplicated: [...nonIdempotent].filter(marker => (runs.get(marker) ?? 0) > 1).length,
+        lost: callers.filter(({ outcome, marker }) => outcome === "complete" && !finished.has(marker)).length,
+        wrongAnswer: outcomes.get("wrong") ?? 0,
+        falseNotRun: [...refused].filter(marker => !maybeRun.has(marker) && runs.has(marker)).length,
+        leakedKeys: starts.filter(record => keys.some(key => JSON.stringify(record).includes(key))).length,
+    };
+}
+
+function countBy(values: readonly string[]): Map<string, number> {
+    const counts = new Map<string, number>();
+    values.forEach(value => counts.set(value, (counts.get(value) ?? 0) + 1));
+    return counts;
+}
--- /dev/null
+++ b/testing/src/faultProxy.ts
@@ -0,0 +1,123 @@
+import { once } from "node:events";
+import { connect, createServer, type Server, type Socket } from "node:net";
+
+/**
+ * What happens to a connection.
+ *
+ * - `pass`: bytes pass, after `delayMs`.
+ * - `refuse`: new connections and open ones are reset.
+ * - `silent`: open connections stay open and no byte passes in either direction.
+ * - `silent-to-client`, `silent-to-server`: the same in one direction.
+ */
+export interface ConnectionFault {
+    readonly mode: "pass" | "refuse" | "silent" | "silent-to-client" | "silent-to-server";
+    readonly delayMs?: number;
+}
+
+interface Endpoint {
+    readonly address: string;
+    readonly port: number;
+}
+
+interface ProxiedConnection {
+    readonly client: Socket;
+    readonly server: Socket;
+    fault: ConnectionFault;
+}
+
+/** TCP proxy that injects faults by the address a connection comes from. */
+export class FaultProxy {
+    private readonly server: Server;
+    private readonly open = new Set<ProxiedConnection>();
+    private faultOf: (sourceAddress: string) => ConnectionFault = () => ({ mode: "pass" });
+
+    constructor(private readonly listenAt: Endpoint, private readonly upstream: Endpoint) {
+        this.server = createServer(client => this.accept(client));
+    }
+
+    async start(): Promise<this> {
+        this.server.listen(this.listenAt.port, this.listenAt.address);
+        await once(this.server, "listening");
+        return this;
+    }
+
+    /** Sets the fault of new connections and of all open ones. */
+    setFault(faultOf: (sourceAddress: string) => ConnectionFault): void {
+        this.faultOf = faultOf;
+        this.applyTo(() => true);
+    }
+
+    /** Makes the connections that are open now silent for good; new ones keep working. */
+    silenceOpenConnections(): void {
+        this.open.forEach(connection => connection.fault = { mode: "silent" });
+    }
+
+    /** Resets the connections that are open now. */
+    resetOpenConnections(): void {
+        this.open.forEach(connection => reset(connection));
+    }
+
+    close(): void {
+        this.server.close();
+        this.resetOpenConnections();
+    }
+
+    private applyTo(isAffected: (connection: ProxiedConnection) => boolean): void {
+        for (const connection of [...this.open].filter(isAffected)) {
+            connection.fault = this.faultOf(connection.client.remoteAddress ?? "");
+            if (connection.fault.mode === "refuse") {
+                reset(connection);
+            }
+        }
+    }
+
+    private accept(client: Socket): void {
+        const fault = this.faultOf(client.remoteAddress ?? "");
+        if (fault.mode === "refuse") {
+            client.resetAndDestroy();
+            return;
+        }
+        const { address: host, port } = this.upstream;
+        const connection: ProxiedConnection = { client, server: connect({ host, port }), fault };
+        this.open.add(connection);
+        this.relay(connection, client, connection.server, "silent-to-server");
+        this.relay(connection, connection.server, client, "silent-to-client");
+    }
+
+    private relay(
+        connection: ProxiedConnection,
+        from: Socket,
+        to: Socket,
+        silentMode: ConnectionFault["mode"],
+    ): void {
+        const isSilent = () => connection.fault.mode === "silent" || connection.fault.mode === silentMode;
+        from.on("data", (chunk: Buffer) => {
+            const forward = () => {
+                if (!isSilent() && to.writable && !to.write(chunk)) {
+                    from.pause();
+                    to.once("drain", () => from.resume());
+                }
+            };
+            const { delayMs = 0 } = connection.fault;
+            if (delayMs > 0) {
+                setTimeout(forward, delayMs);
+            }
+            else {
+                forward();
+            }
+        });
+        from.on("end", () => isSilent() || to.end());
+        from.on("error", () => isSilent() || to.resetAndDestroy());
+        from.on("close", () => {
+            this.open.delete(connection);
+            if (!isSilent()) {
+                to.destroy();
+            }
+        });
+    }
+}
+
+function reset({ client, server }: ProxiedConnection): void {
+    client.resetAndDestroy();
+    server.resetAndDestroy();
+}
--- /dev/null
+++ b/testing/src/fleet.ts
@@ -0,0 +1,228 @@
+import type { Settings } from "@pistachioreel/config";
+import { type ListedHost } from "@pistachioreel/platform-store";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { ChildProgram } from "./childProgram.js";
+import { LoopbackNetwork } from "./loopbackNetwork.js";
+import { runProgram } from "./runProgram.js";
+import type { StoreFault } from "./storeStandIn.js";
+import type { TargetRecord } from "./targetRecord.js";
+import type { TargetBehaviour } from "./targetStandIn.js";
+
+/** A target of a fleet. */
+export interface FleetTarget {
+    readonly address: string;
+    readonly port: number;
+    readonly availabilityZone: string;
+    readonly region: string;
+    readonly service: string;
+    readonly slots: number;
+    readonly behaviour?: Partial<TargetBehaviour>;
+}
+
+interface HostPlace {
+    readonly availabilityZone: string;
+    readonly region: string;
+}
+
+interface FleetOptions {
+    readonly hosts: readonly HostPlace[];
+    readonly targets: (network: LoopbackNetwork) => readonly FleetTarget[];
+    /** Rules file (JSON with comments). */
+    readonly rules: string;
+    /** Changes to the settings of each host. */
+    readonly settings?: (settings: Settings, index: number) => Settings;
+    /** Changes to the platform's list, for example addresses of proxies. */
+    readonly listed?: (host: ListedHost, index: number) => ListedHost;
+    /** Changes to the inventory address of a target, for example that of a proxy. */
+    readonly inventoryAddress?: (target: FleetTarget) => string;
+}
+
+const STAND_IN = "dist/standIn.cjs";
+const BUNDLE = "dist/pistachioreel.cjs";
+const STORE_PORT = 7000;
+const CALLERS_PORT = 7001;
+const ADMIN_PORT = 7002;
+const PEERS_PORT = 7003;
+const PEER_SECRET = "a-shared-secret-for-tests";
+const READY_TIMEOUT_MS = 20_000;
+const POLL_MS = 50;
+
+const HOST_GROUP = 1;
+const STORE_GROUP = 0;
+
+/** A store, targets and entry hosts as processes on loopback. */
+export class Fleet {
+    readonly network = new LoopbackNetwork();
+    readonly targets = new Map<string, ChildProgram>();
+    readonly hosts: ChildProgram[] = [];
+    readonly settings: Settings[] = [];
+    readonly directory = mkdtempSync(join(tmpdir(), "pistachioreel-"));
+    private readonly recordsFile = join(this.directory, "records.jsonl");
+    private readonly storeAddress = this.network.address(STORE_GROUP, 0);
+    private store: ChildProgram | undefined;
+
+    private constructor(private readonly opts: FleetOptions) {}
+
+    /** Starts everything, applies the rules and waits until all hosts are ready. */
+    static async start(opts: FleetOptions): Promise<Fleet> {
+        const fleet = new Fleet(opts);
+        try {
+            await fleet.startAll();
+        }
+        catch (error) {
+            await fleet.stop();
+            throw error;
+        }
+        return fleet;
+    }
+
+    get storeUrl(): string {
+        return `http://${this.storeAddress}:${STORE_PORT}`;
+    }
+
+    /** `address:port` of the listener for callers. */
+    callersOf(index: number): string {
+        return `${this.network.address(HOST_GROUP, index)}:${CALLERS_PORT}`;
+    }
+
+    adminOf(index: number): string {
+        return `${this.network.address(HOST_GROUP, index)}:${ADMIN_PORT}`;
+    }
+
+    /** Applies rules with the fleet's inventory and returns the program's output. */
+    async apply(rules = this.opts.rules): Promise<string> {
+        const inventoryFile = join(this.directory, "inventory.csv");
+        const rulesFile = join(this.directory, "rules.jsonc");
+        writeFileSync(inventoryFile, this.inventory());
+        writeFileSync(rulesFile, rules);
+        return this.operate("apply", "--inventory", inventoryFile, "--rules", rulesFile);
+    }
+
+    /** Runs an operator's command against the store; rejects if it fails. */
+    async operate(...args: string[]): Promise<string> {
+        return runProgram(BUNDLE, [...args, "--store", this.storeUrl]);
+    }
+
+    /** Issues a key for a workspace. */
+    async issueKey(workspace: string): Promise<{ id: string; key: string; }> {
+        return JSON.parse(await this.operate("key", "issue", "--workspace", workspace, "--json")) as {
+            id: string;
+            key: string;
+        };
+    }
+
+    async setStoreFault(fault: Partial<StoreFault>): Promise<void> {
+        await request(`${this.storeUrl}/control/fault`, { method: "POST", body: JSON.stringify(fault) });
+    }
+
+    async setBehaviour(targetId: string, behaviour: Partial<TargetBehaviour>): Promise<void> {
+        await request(`http://${targetId}/control/behaviour`, { method: "POST", body: JSON.stringify(behaviour) });
+    }
+
+    /** Starts the host process of an index; a second call replaces the first process at the same address. */
+    async startHost(index: number): Promise<void> {
+        const settings = this.settingsOf(index);
+        this.settings[index] = settings;
+        const file = join(this.directory, `${settings.hostId}.jsonc`);
+        writeFileSync(file, JSON.stringify(settings));
+        const opts = { readyLine: "event=host-started" };
+        this.hosts[index] = await new ChildProgram(process.execPath, [BUNDLE, "entry", "--settings", file], opts)
+            .started();
+    }
+
+    /** Publishes the platform's list with the given hosts, all of them by default. */
+    async publishHosts(isListed: (index: number) => boolean = () => true): Promise<void> {
+        const hosts = this.opts.hosts.map((_, index) => this.listedHost(index)).filter((_, index) => isListed(index));
+        await request(`${this.storeUrl}/control/hosts`, { method: "POST", body: JSON.stringify(hosts) });
+    }
+
+    async waitUntilReady(index: number): Promise<void> {
+        const deadline = Date.now() + READY_TIMEOUT_MS;
+        while (Date.now() < deadline) {
+            const response = await request(`http://${this.adminOf(index)}/readyz`).catch(() => undefined);
+            await response?.body.dump();
+            if (response?.statusCode === 200) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, POLL_MS));
+        }
+        throw new Error(`host ${index} is not ready\n${this.hosts[index]?.lines.slice(-5).join("\n")}`);
+    }
+
+    /** All records of all targets so far. */
+    records(): TargetRecord[] {
+        const lines = readFileSync(this.recordsFile, "utf8").split("\n").filter(line => line !== "");
+        return lines.map(line => JSON.parse(line) as TargetRecord);
+    }
+
+    async stop(): Promise<void> {
+        const programs = [...this.hosts, ...this.targets.values(), ...(this.store ? [this.store] : [])];
+        await Promise.all(programs.map(program => program.end("SIGKILL")));
+        rmSync(this.directory, { recursive: true, force: true });
+    }
+
+    private async startAll(): Promise<void> {
+        writeFileSync(this.recordsFile, "");
+        const storeArgs = ["store", "--address", this.storeAddress, "--port", String(STORE_PORT)];
+        this.store = await this.startStandIn(storeArgs);
+        await this.publishHosts();
+        await Promise.all(this.opts.targets(this.network).map(target => this.startTarget(target)));
+        await this.apply();
+        await Promise.all(this.opts.hosts.map((_, index) => this.startHost(index)));
+        await Promise.all(this.opts.hosts.map((_, index) => this.waitUntilReady(index)));
+    }
+
+    /** Starts the process of a target; a second call replaces the first process at the same address. */
+    async startTarget({ address, port, slots, behaviour = {} }: FleetTarget): Promise<void> {
+        const args = ["target", "--address", address, "--port", String(port), "--slots", String(slots)];
+        args.push("--records", this.recordsFile, "--behaviour", JSON.stringify(behaviour));
+        this.targets.set(`${address}:${port}`, await this.startStandIn(args));
+    }
+
+    private async startStandIn(args: string[]): Promise<ChildProgram> {
+        return new ChildProgram(process.execPath, [STAND_IN, ...args], { readyLine: "listening" }).started();
+    }
+
+    private settingsOf(index: number): Settings {
+        const { availabilityZone, region } = this.opts.hosts[index] as HostPlace;
+        const address = this.network.address(HOST_GROUP, index);
+        const settings: Settings = {
+            hostId: `host-${index}`,
+            availabilityZone,
+            region,
+            callers: { address, port: CALLERS_PORT },
+            admin: { address, port: ADMIN_PORT },
+            peers: { address, port: PEERS_PORT, secrets: [PEER_SECRET] },
+            store: { url: this.storeUrl },
+            drainTimeoutMs: 10_000,
+            logLevel: "info",
+        };
+        return this.opts.settings?.(settings, index) ?? settings;
+    }
+
+    private listedHost(index: number): ListedHost {
+        const { hostId: id, availabilityZone, region, callers, admin, peers } = this.settingsOf(index);
+        const host: ListedHost = {
+            id,
+            callers: `${callers.address}:${callers.port}`,
+            admin: `${admin.address}:${admin.port}`,
+            peers: `${peers.address}:${peers.port}`,
+            availabilityZone,
+            region,
+            state: "live",
+        };
+        return this.opts.listed?.(host, index) ?? host;
+    }
+
+    private inventory(): string {
+        const rows = this.opts.targets(this.network).map(target => {
+            const address = this.opts.inventoryAddress?.(target) ?? target.address;
+            const { port, availabilityZone, region, service, slots } = target;
+            return [address, port, availabilityZone, region, service, slots, 360, "live"].join(",");
+        });
+        return ["address,port,availability_zone,region,service,slots,connections,state", ...rows].join("\n");
+    }
+}
--- /dev/null
+++ b/testing/src/standInMain.ts
@@ -0,0 +1,23 @@
+import { parseArgs } from "node:util";
+import { StoreStandIn } from "./storeStandIn.js";
+import { TargetStandIn } from "./targetStandIn.js";
+
+const { values, positionals } = parseArgs({
+    allowPositionals: true,
+    options: {
+        address: { type: "string", default: "127.0.0.1" },
+        port: { type: "string", default: "0" },
+        slots: { type: "string", default: "4" },
+        records: { type: "string", default: "/dev/null" },
+        behaviour: { type: "string", default: "{}" },
+    },
+});
+
+const { server } = positionals[0] === "store" ? new StoreStandIn() : new TargetStandIn({
+    id: `${values.address}:${values.port}`,
+    slots: Number(values.slots),
+    records: values.records,
+    behaviour: JSON.parse(values.behaviour) as object,
+});
+server.listen(Number(values.port), values.address, () => process.stdout.write("listening\n"));
+process.once("SIGTERM", () => process.exit(0));
--- /dev/null
+++ b/testing/src/storeStandIn.ts
@@ -0,0 +1,142 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** Faults of the store that tests can switch on. */
+export interface StoreFault {
+    /** `down`: no answer to any call; `lose-reply`: writes take effect and get no answer; `silent-watch`: watches hang. */
+    readonly mode: "none" | "down" | "lose-reply" | "silent-watch";
+    /** Time that each call takes, in ms. */
+    readonly delayMs: number;
+}
+
+interface StoredEntry {
+    readonly value: string;
+    readonly version: string;
+    readonly revision: number;
+}
+
+type Waiter = () => void;
+
+/** Small stand-in for the platform's store and host list. */
+export class StoreStandIn {
+    readonly server: Server;
+    private readonly objects = new Map<string, StoredEntry>();
+    private readonly changes: string[] = [];
+    private readonly waiters = new Set<Waiter>();
+    private readonly calls: Record<string, number> = {};
+    private fault: StoreFault = { mode: "none", delayMs: 0 };
+    private hosts: unknown = [];
+
+    constructor() {
+        this.server = createServer((request, response) => {
+            this.handle(request, response).catch(() => response.destroy());
+        });
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "/", "http://store");
+        if (url.pathname.startsWith("/control/")) {
+            await this.control(url.pathname, request, response);
+            return;
+        }
+        this.calls[request.method ?? ""] = (this.calls[request.method ?? ""] ?? 0) + 1;
+        const { fault } = this;
+        await sleep(fault.delayMs);
+        if (fault.mode === "down") {
+            request.socket.destroy();
+        }
+        else if (url.pathname === "/v1/watch") {
+            await this.watch(url, response);
+        }
+        else if (url.pathname === "/v1/hosts") {
+            answer(response, 200, JSON.stringify(this.hosts));
+        }
+        else if (url.pathname === "/v1/objects") {
+            const prefix = url.searchParams.get("prefix") ?? "";
+            answer(response, 200, JSON.stringify([...this.objects.keys()].filter(name => name.startsWith(prefix))));
+        }
+        else {
+            await this.object(decodeURIComponent(url.pathname.slice("/v1/objects/".length)), request, response);
+        }
+    }
+
+    private async object(name: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readBody(request);
+        const found = this.objects.get(name);
+        if (request.method === "GET") {
+            answer(response, found === undefined ? 404 : 200, found?.value ?? "", found?.version);
+            return;
+        }
+        const expected = request.headers["if-match"];
+        const holds = expected === undefined ? found === undefined : found?.version === expected;
+        if (!holds) {
+            answer(response, request.method === "DELETE" && found === undefined ? 404 : 412, "");
+            return;
+        }
+        const revision = this.changes.push(name);
+        const version = `"${revision}"`;
+        if (request.method === "DELETE") {
+            this.objects.delete(name);
+        }
+        else {
+            this.objects.set(name, { value: body, version, revision });
+        }
+        this.waiters.forEach(wake => wake());
+        if (this.fault.mode === "lose-reply") {
+            request.socket.destroy();
+            return;
+        }
+        answer(response, request.method === "DELETE" ? 204 : 200, "", version);
+    }
+
+    private async watch(url: URL, response: ServerResponse): Promise<void> {
+        if (this.fault.mode === "silent-watch") {
+            return;
+        }
+        const prefix = url.searchParams.get("prefix") ?? "";
+        const after = Number(url.searchParams.get("after"));
+        const namesSince = () => [...new Set(this.changes.slice(after).filter(name => name.startsWith(prefix)))];
+        const waitUntil = Date.now() + Number(url.searchParams.get("wait"));
+        while (namesSince().length === 0 && Date.now() < waitUntil && !response.destroyed) {
+            await this.nextChange(waitUntil - Date.now());
+        }
+        answer(response, 200, JSON.stringify({ revision: this.changes.length, names: namesSince() }));
+    }
+
+    private nextChange(timeoutMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const wake = () => {
+                clearTimeout(timer);
+                this.waiters.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, timeoutMs);
+            this.waiters.add(wake);
+        });
+    }
+
+    private async control(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readBody(request);
+        if (path === "/control/fault") {
+            this.fault = { mode: "none", delayMs: 0, ...JSON.parse(body) as Partial<StoreFault> };
+        }
+        else if (path === "/control/hosts") {
+            this.hosts = JSON.parse(body);
+        }
+        const objects = Object.fromEntries([...this.objects].map(([name, { value }]) => [name, value]));
+        answer(response, 200, JSON.stringify(path === "/control/objects" ? objects : this.calls));
+    }
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString();
+}
+
+function answer(response: ServerResponse, status: number, body: string, version?: string): void {
+    response.writeHead(status, version === undefined ? {} : { etag: version });
+    response.end(body);
+}
--- /dev/null
+++ b/testing/src/targetStandIn.ts
@@ -0,0 +1,157 @@
+import { createHash } from "node:crypto";
+import { appendFileSync } from "node:fs";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { TargetRecord } from "./targetRecord.js";
+
+/** Behaviour of the target that tests can switch. */
+export interface TargetBehaviour {
+    /** Time that a request takes, in ms. */
+    readonly workMs: number;
+    /** Extra time of each of the first `coldRequests` requests, in ms. */
+    readonly coldMs: number;
+    readonly coldRequests: number;
+    /** Refuse everything as not run. */
+    readonly sheds: boolean;
+    /** Report `draining` and refuse new requests. */
+    readonly drains: boolean;
+    /** Size of responses in bytes; 0 for a short JSON answer. */
+    readonly responseBytes: number;
+    /** Break the connection after this many response bytes; 0 for never. */
+    readonly cutAfterBytes: number;
+    /** Exit when a request's marker contains this text. */
+    readonly crashOn: string;
+    /** Reported number of running requests; the true one if absent. */
+    readonly reportedRunning?: number;
+}
+
+interface TargetStandInOptions {
+    readonly id: string;
+    readonly slots: number;
+    /** File that gets one JSON line for each start and end of a request; it survives a kill. */
+    readonly records: string;
+    readonly behaviour?: Partial<TargetBehaviour>;
+}
+
+const DEFAULT_BEHAVIOUR: TargetBehaviour = {
+    workMs: 5,
+    coldMs: 0,
+    coldRequests: 0,
+    sheds: false,
+    drains: false,
+    responseBytes: 0,
+    cutAfterBytes: 0,
+    crashOn: "",
+};
+
+/** Small stand-in for a target: it works for a while, echoes what it got and records what it ran. */
+export class TargetStandIn {
+    readonly server: Server;
+    private behaviour: TargetBehaviour;
+    private running = 0;
+    private served = 0;
+    private connections = 0;
+
+    constructor(private readonly opts: TargetStandInOptions) {
+        this.behaviour = { ...DEFAULT_BEHAVIOUR, ...opts.behaviour };
+        this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+            this.handle(request, response).catch(() => response.destroy());
+        });
+        this.server.on("connection", socket => {
+            this.connections++;
+            socket.once("close", () => this.connections--);
+        });
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (request.url === "/load") {
+            this.answerLoad(response);
+        }
+        else if (request.url === "/control/behaviour") {
+            this.behaviour = { ...this.behaviour, ...JSON.parse((await readBody(request)).toString()) as object };
+            response.end();
+        }
+        else if (this.behaviour.sheds || this.behaviour.drains || this.running >= this.opts.slots) {
+            request.resume();
+            response.writeHead(503, { "x-not-run": "1" }).end();
+        }
+        else {
+            await this.run(request, response);
+        }
+    }
+
+    private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const marker = String(request.headers["x-marker"] ?? "");
+        const requestId = String(request.headers["x-request-id"] ?? "");
+        const record = (event: TargetRecord["event"], fields: Partial<TargetRecord> = {}) =>
+            this.record({ event, target: this.opts.id, marker, requestId, time: Date.now(), ...fields });
+        this.running++;
+        record("start", {
+            method: request.method,
+            path: request.url,
+            workspace: request.headers["x-workspace"]?.toString(),
+            head: request.rawHeaders,
+            running: this.running,
+        });
+        try {
+            const body = await readBody(request);
+            await this.work(marker);
+            await this.answer(request, response, body);
+            record(response.writableFinished ? "end" : "cancelled", { bodyBytes: body.length });
+        }
+        catch {
+            record("cancelled");
+            response.destroy();
+        }
+        finally {
+            this.running--;
+        }
+    }
+
+    private async work(marker: string): Promise<void> {
+        const { workMs, coldMs, coldRequests, crashOn } = this.behaviour;
+        if (crashOn !== "" && marker.includes(crashOn)) {
+            process.exit(1);
+        }
+        await sleep(workMs + (this.served++ < coldRequests ? coldMs : 0));
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
+        const echo = {
+            marker: request.headers["x-marker"],
+            workspace: request.headers["x-workspace"],
+            bodyBytes: body.length,
+            bodyDigest: createHash("sha256").update(body).digest("hex"),
+        };
+        const text = JSON.stringify(echo).padEnd(this.behaviour.responseBytes);
+        response.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+        if (this.behaviour.cutAfterBytes > 0) {
+            response.write(text.slice(0, this.behaviour.cutAfterBytes), () => response.destroy());
+            return;
+        }
+        await new Promise<void>(resolve => {
+            response.once("close", () => resolve());
+            response.end(text);
+        });
+    }
+
+    private answerLoad(response: ServerResponse): void {
+        const { drains, coldRequests, reportedRunning } = this.behaviour;
+        const state = drains ? "draining" : this.served < coldRequests ? "cold" : "serving";
+        const { slots } = this.opts;
+        const running = reportedRunning ?? this.running;
+        response.end(JSON.stringify({ slots, running, connections: this.connections, state }));
+    }
+
+    private record(record: TargetRecord): void {
+        appendFileSync(this.opts.records, `${JSON.stringify(record)}\n`);
+    }
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/timeline/src/index.ts
@@ -0,0 +1,2 @@
+export { Timeline } from "./timeline.js";
+export { type TimelineEvent, timelineEventSchema } from "./timelineEvent.js";
