--- a/delivery/src/delivery.ts
+++ b/delivery/src/delivery.ts
@@ -1,7 +1,6 @@
 import { Failure } from "@pistachioreel/result-code";
-import type { SlotLedger, TargetCandidate, TargetChooser } from "@pistachioreel/steering";
+import type { TargetQueue } from "@pistachioreel/steering";
 import { err, ok, type Result } from "neverthrow";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { Dispatcher } from "undici";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attemptResult.js";
@@ -9,17 +8,14 @@
 import { forwardedHeaders } from "./forwardedHeaders.js";
 import type { TargetPools } from "./targetPools.js";
 
-interface DeliveryTarget extends TargetCandidate {
+interface DeliveryTarget {
+    readonly id: string;
     readonly connections: number;
-    readonly state: "live" | "leaving";
 }
 
 interface DeliveryOptions {
     readonly pools: TargetPools;
-    readonly chooser: TargetChooser;
-    readonly slots: SlotLedger;
-    /** Targets of a service in the configuration in force. */
-    readonly targetsOf: (service: string) => readonly DeliveryTarget[];
+    readonly queue: TargetQueue<DeliveryTarget>;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -31,7 +27,6 @@
 }
 
 const MAX_ATTEMPTS = 3;
-const SLOT_POLL_MS = 5;
 
 /** Takes one request from its caller to a target and the response back. */
 export class Delivery {
@@ -42,19 +37,22 @@
      * the response has begun (`response.headersSent`).
      */
     async deliver(request: DeliveryRequest): Promise<Result<DeliveryReport, Failure>> {
-        const tried = new Set<string>();
+        const excluded = new Set<string>();
+        const { service, workspace, priority, deadlineAt } = request;
+        const signal = disconnectSignal(request);
         let mayHaveRun = false;
         for (let attempts = 1;; attempts++) {
-            const target = await this.waitForTarget(request, tried);
-            if (target.isErr()) {
-                return err(
-                    mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: target.error }) : target.error,
-                );
+            const grant = await this.opts.queue.acquire({ service, workspace, priority, deadlineAt, excluded, signal });
+            if (grant.isErr()) {
+                return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: grant.error }) : grant.error);
             }
-            tried.add(target.value.id);
-            const result = await this.attempt(request, target.value);
+            const { target, release } = grant.value;
+            excluded.add(target.id);
+            const startedAt = this.opts.now();
+            const result = await this.run(request, target);
+            release({ end: result.end, latencyMs: this.opts.now() - startedAt });
             if (result.end === "complete") {
-                return ok({ target: target.value.id, status: result.status, attempts });
+                return ok({ target: target.id, status: result.status, attempts });
             }
             mayHaveRun ||= result.end !== "unsent" && result.end !== "refused";
             if (attempts >= MAX_ATTEMPTS || !isRetryable(request, result)) {
@@ -63,37 +61,6 @@
         }
     }
 
-    private async waitForTarget(
-        request: DeliveryRequest,
-        tried: ReadonlySet<string>,
-    ): Promise<Result<DeliveryTarget, Failure>> {
-        for (;;) {
-            const serving = this.opts.targetsOf(request.service).filter(target => target.state === "live");
-            const untried = serving.filter(target => !tried.has(target.id));
-            if (untried.length === 0) {
-                return err(new Failure("noTarget"));
-            }
-            if (this.opts.now() >= request.deadlineAt) {
-                return err(new Failure("deadlineInQueue"));
-            }
-            const target = this.opts.chooser.choose(untried);
-            if (target !== undefined) {
-                return ok(target);
-            }
-            await sleep(SLOT_POLL_MS);
-        }
-    }
-
-    private async attempt(request: DeliveryRequest, target: DeliveryTarget): Promise<AttemptResult> {
-        const release = this.opts.slots.take(target.id);
-        try {
-            return await this.run(request, target);
-        }
-        finally {
-            release();
-        }
-    }
-
     private run(request: DeliveryRequest, target: DeliveryTarget): Promise<AttemptResult> {
         const timeLeftMs = Math.max(1, Math.floor(request.deadlineAt - this.opts.now()));
         return new Promise(resolve => {
@@ -119,6 +86,12 @@
     }
 }
 
+function disconnectSignal({ response }: DeliveryRequest): AbortSignal {
+    const disconnected = new AbortController();
+    response.once("close", () => disconnected.abort());
+    return disconnected.signal;
+}
+
 function dispatchOptions(request: DeliveryRequest, timeLeftMs: number): Dispatcher.DispatchOptions {
     const { method = "GET", url: path = "/", rawHeaders } = request.request;
     const hasBody = "content-length" in request.request.headers || "transfer-encoding" in request.request.headers;
--- a/delivery/src/deliveryRequest.ts
+++ b/delivery/src/deliveryRequest.ts
@@ -7,6 +7,7 @@
     /** Absent on open routes. */
     readonly workspace: string | undefined;
     readonly service: string;
+    readonly priority: "urgent" | "normal" | "deferrable";
     readonly isIdempotent: boolean;
     /** Monotonic time in ms at which the caller gives up. */
     readonly deadlineAt: number;
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -97,6 +97,7 @@
             id,
             workspace,
             service: route.service,
+            priority: route.priority,
             isIdempotent: route.idempotent,
             deadlineAt: startedAt + deadlineMs,
             attemptTimeoutMs: service?.attemptTimeoutMs ?? deadlineMs,
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -2,7 +2,7 @@
 import { Delivery, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
 import { HttpObjectStore } from "@pistachioreel/platform-store";
-import { NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
+import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
@@ -43,9 +43,12 @@
             admission: new WorkspaceAdmission(state, monotonicNow),
             delivery: new Delivery({
                 pools: this.pools,
-                chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-                slots,
-                targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+                queue: new PollingTargetQueue({
+                    chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
+                    slots,
+                    targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+                    now: monotonicNow,
+                }),
                 now: monotonicNow,
             }),
             now: monotonicNow,
--- /dev/null
+++ b/peering/src/index.ts
@@ -0,0 +1,1 @@
+export type { PeerHandler, PeerIdentity, PeerMesh, PeerMessage } from "./peerMesh.js";
