--- a/cli/src/command.ts
+++ b/cli/src/command.ts
@@ -20,6 +20,8 @@
     readonly summary: string;
     /** Arguments, flags and an example, for `--help`. */
     readonly usage: string;
+    /** Names of the flags that the command accepts besides `--help` and `--json`, without dashes. */
+    readonly flags: readonly string[];
     /** Runs the command; all failures are reported together. */
     run(input: CommandInput): Promise<Result<CommandOutput, readonly Failure[]>>;
 }
--- a/cli/src/commands/apply.ts
+++ b/cli/src/commands/apply.ts
@@ -1,20 +1,29 @@
-import type { Configuration } from "@pistachioreel/config";
+import { type Configuration, diffConfigurations } from "@pistachioreel/config";
 import { DocumentRepository } from "@pistachioreel/documents";
 import type { HttpObjectStore } from "@pistachioreel/platform-store";
-import type { Failure } from "@pistachioreel/result-code";
+import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
-import type { Command, CommandOutput } from "../command.js";
+import type { Command, CommandInput, CommandOutput } from "../command.js";
 import { loadConfiguration } from "../loadConfiguration.js";
-import { openStore } from "../openStore.js";
+import { readStoredConfiguration } from "../readStoredConfiguration.js";
+import { renderChanges } from "../renderChanges.js";
+import { waitInForce } from "../waitInForce.js";
+import { withStore } from "../withStore.js";
+
+const MS_PER_SECOND = 1_000;
 
 export const apply: Command = {
     name: "apply",
     summary: "put an inventory and rules in force on all hosts",
-    usage: `--inventory FILE --rules FILE --store URL
+    flags: ["inventory", "rules", "store", "based-on", "wait"],
+    usage: `--inventory FILE --rules FILE --store URL [--based-on VERSION] [--wait SECONDS]
 
-Applying the same files again changes nothing. If another change was applied
-at the same time, the command fails with code 2002 and changes nothing.
+Says "accepted" when the change is durable, then waits up to 14 s (--wait) and
+shows which hosts have it in force and which cannot be reached. Applying the same
+files again changes nothing. With --based-on, or if another change is applied
+at the same time, the command fails with code 2002, shows the difference to the
+configuration in force and changes nothing.
 
 Example: pistachioreel apply --inventory inventory.csv --rules rules.jsonc --store http://10.0.0.1:7000`,
     async run(input) {
@@ -22,26 +31,57 @@
         if (configuration.isErr()) {
             return err(configuration.error);
         }
-        const store = openStore(input);
-        if (store.isErr()) {
-            return err([store.error]);
-        }
-        const output = await commit(store.value, configuration.value);
-        await store.value.close();
-        return output.mapErr(failure => [failure]);
+        return withStore(input, store => applyTo(store, configuration.value, input));
     },
 };
 
-async function commit(store: HttpObjectStore, configuration: Configuration): Promise<Result<CommandOutput, Failure>> {
-    const repository = new DocumentRepository(store);
-    const pointer = await repository.readPointer("config");
-    if (pointer.isErr()) {
-        return err(pointer.error);
+async function applyTo(
+    store: HttpObjectStore,
+    configuration: Configuration,
+    input: CommandInput,
+): Promise<Result<CommandOutput, Failure>> {
+    const stored = await readStoredConfiguration(store);
+    if (stored.isErr()) {
+        return err(stored.error);
     }
-    const basedOn = pointer.value?.version ?? 0;
+    const basedOn = input.flags["based-on"] === undefined ? stored.value.version : Number(input.flags["based-on"]);
+    const repository = new DocumentRepository(store);
     const committed = await repository.commit("config", configuration.toContent(), { basedOn, changeId: randomUUID() });
-    return committed.andThen(version => {
-        const text = version === basedOn ? `unchanged: version ${version}` : `accepted: version ${version}`;
-        return ok({ text, json: { version, changed: version !== basedOn } });
+    if (committed.isErr()) {
+        return err(await explainConflict(store, configuration, committed.error));
+    }
+    const version = committed.value;
+    const changed = version !== stored.value.version;
+    const hosts = await waitInForce(store, "config", version, waitOptions(input));
+    const { inForce, behind, unreachable } = hosts;
+    const lines = [
+        changed ? `accepted: version ${version}` : `unchanged: version ${version}`,
+        `in force on ${inForce.length} hosts`,
+        ...(behind.length > 0 ? [`not yet in force on ${behind.join(", ")}`] : []),
+        ...(unreachable.length > 0 ? [`cannot be reached: ${unreachable.join(", ")}`] : []),
+    ];
+    return ok({ text: lines.join("\n"), json: { version, changed, ...hosts } });
+}
+
+function waitOptions({ flags }: CommandInput): { timeoutMs?: number; } {
+    return flags["wait"] === undefined ? {} : { timeoutMs: Number(flags["wait"]) * MS_PER_SECOND };
+}
+
+/** Adds the difference to what is in force now to a conflict. */
+async function explainConflict(
+    store: HttpObjectStore,
+    configuration: Configuration,
+    failure: Failure,
+): Promise<Failure> {
+    if (failure.code !== "storeConflict") {
+        return failure;
+    }
+    const current = await readStoredConfiguration(store);
+    if (current.isErr()) {
+        return failure;
+    }
+    const changes = renderChanges(diffConfigurations(current.value.configuration, configuration));
+    return new Failure("storeConflict", `${failure.message}; your files differ from it in:\n${changes}`, {
+        details: { ...failure.details, changes },
     });
 }
--- a/cli/src/commands/entry.ts
+++ b/cli/src/commands/entry.ts
@@ -9,6 +9,7 @@
 export const entry: Command = {
     name: "entry",
     summary: "run an entry host until SIGTERM or SIGINT",
+    flags: ["settings"],
     usage: `--settings FILE
 
 Example: pistachioreel entry --settings host-1.jsonc`,
--- a/cli/src/commands/key.ts
+++ b/cli/src/commands/key.ts
@@ -18,6 +18,7 @@
 export const key: Command = {
     name: "key",
     summary: "issue, withdraw and list the keys of workspaces",
+    flags: ["workspace", "id", "store"],
     usage: `issue --workspace NAME --store URL
   withdraw --id ID --store URL
   list --store URL
--- /dev/null
+++ b/cli/src/commands/lookup.ts
@@ -0,0 +1,39 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok } from "neverthrow";
+import { request } from "undici";
+import { z } from "zod";
+import type { Command } from "../command.js";
+import { requireFlag } from "../requireFlag.js";
+
+const TIMEOUT_MS = 2_000;
+const answerSchema = z.looseObject({ hosts: z.array(z.string()), lifetimeSeconds: z.number() });
+
+export const lookup: Command = {
+    name: "lookup",
+    summary: "ask an entry host which entry hosts a caller should use",
+    flags: ["host", "client"],
+    usage: `--host ADDRESS:PORT [--client IP]
+
+Example: pistachioreel lookup --host 10.0.0.11:7001 --client 192.0.2.7`,
+    async run(input) {
+        const host = requireFlag(input, "host");
+        if (host.isErr()) {
+            return err([host.error]);
+        }
+        const client = input.flags["client"];
+        const query = client === undefined ? "" : `?client=${encodeURIComponent(client)}`;
+        try {
+            const signal = AbortSignal.timeout(TIMEOUT_MS);
+            const { statusCode, body } = await request(`http://${host.value}/v1/lookup${query}`, { signal });
+            if (statusCode !== 200) {
+                return err([new Failure("argumentInvalid", `the host answered ${statusCode}: ${await body.text()}`)]);
+            }
+            const answer = answerSchema.parse(await body.json());
+            const text = [...answer.hosts, `valid for ${answer.lifetimeSeconds} s`].join("\n");
+            return ok({ text, json: answer });
+        }
+        catch (cause) {
+            return err([new Failure("peerUnreachable", `${host.value} did not answer the lookup`, { cause })]);
+        }
+    },
+};
--- /dev/null
+++ b/cli/src/commands/timeline.ts
@@ -0,0 +1,81 @@
+import { Failure } from "@pistachioreel/result-code";
+import {
+    filterEvents,
+    mergeTimelines,
+    renderEvent,
+    renderHtml,
+    timelineEventSchema,
+    type TimelineFilter,
+} from "@pistachioreel/timeline";
+import { err, ok, type Result } from "neverthrow";
+import { writeFile } from "node:fs/promises";
+import { z } from "zod";
+import { askHosts } from "../askHosts.js";
+import type { Command, CommandInput, CommandOutput } from "../command.js";
+import { withStore } from "../withStore.js";
+
+const eventsSchema = z.array(timelineEventSchema);
+
+export const timeline: Command = {
+    name: "timeline",
+    summary: "merge the events of all hosts",
+    flags: ["store", "host", "workspace", "request", "config-version", "from", "to", "html"],
+    usage: `--store URL [--host ID] [--workspace NAME] [--request ID] [--config-version N]
+    [--from TIME] [--to TIME] [--html FILE]
+
+Times are ISO 8601. --html writes one self-contained page.
+
+Example: why was this dealer refused at 10:42?
+  pistachioreel timeline --store http://10.0.0.1:7000 --workspace dealers-north \\
+    --from 2026-12-04T10:41:00Z --to 2026-12-04T10:43:00Z`,
+    async run(input) {
+        const filter = parseFilter(input);
+        if (filter.isErr()) {
+            return err([filter.error]);
+        }
+        return withStore(input, async store => {
+            const hosts = await store.hosts();
+            if (hosts.isErr()) {
+                return err(hosts.error);
+            }
+            const reports = await askHosts(hosts.value, "/v1/timeline", eventsSchema);
+            const merged = mergeTimelines(reports.map(({ answer }) => answer ?? []));
+            const selected = { ...merged, events: filterEvents(merged.events, filter.value) };
+            const missing = reports.filter(({ answer }) => answer === undefined).map(({ host }) => host.id);
+            return writeOutput(selected, missing, input);
+        });
+    },
+};
+
+function parseFilter({ flags }: CommandInput): Result<TimelineFilter, Failure> {
+    const configVersion = flags["config-version"] === undefined ? undefined : Number(flags["config-version"]);
+    const [from, to] = [flags["from"], flags["to"]].map(time => time === undefined ? undefined : Date.parse(time));
+    if ([configVersion, from, to].some(value => Number.isNaN(value))) {
+        return err(
+            new Failure("argumentInvalid", "--config-version takes a number, --from and --to take ISO 8601 times"),
+        );
+    }
+    const { host, workspace, request } = flags;
+    return ok({ host, workspace, request, configVersion, from, to });
+}
+
+async function writeOutput(
+    merged: ReturnType<typeof mergeTimelines>,
+    missing: readonly string[],
+    { flags }: CommandInput,
+): Promise<Result<CommandOutput, Failure>> {
+    const { events, skewMs } = merged;
+    const json = { events, skewMs: Object.fromEntries(skewMs), missing };
+    const notes = missing.length > 0 ? [`no answer from ${missing.join(", ")}`] : [];
+    if (flags["html"] === undefined) {
+        const skew = [...skewMs].map(([host, ms]) => `clock skew of ${host}: ${Math.round(ms)} ms`);
+        return ok({ text: [...events.map(renderEvent), ...skew, ...notes].join("\n"), json });
+    }
+    try {
+        await writeFile(flags["html"], renderHtml(merged));
+        return ok({ text: [`${events.length} events written to ${flags["html"]}`, ...notes].join("\n"), json });
+    }
+    catch (cause) {
+        return err(new Failure("fileUnreadable", `${flags["html"]}: cannot be written`, { cause }));
+    }
+}
--- a/cli/src/commands/validate.ts
+++ b/cli/src/commands/validate.ts
@@ -4,6 +4,7 @@
 export const validate: Command = {
     name: "validate",
     summary: "check an inventory and rules without changing anything",
+    flags: ["inventory", "rules"],
     usage: `--inventory FILE --rules FILE
 
 Example: pistachioreel validate --inventory inventory.csv --rules rules.jsonc`,
--- a/cli/src/program.ts
+++ b/cli/src/program.ts
@@ -1,9 +1,14 @@
-import type { Failure } from "@pistachioreel/result-code";
+import { Failure } from "@pistachioreel/result-code";
 import meow from "meow";
-import type { Command } from "./command.js";
+import { err, ok, type Result } from "neverthrow";
+import type { Command, CommandInput } from "./command.js";
 import { apply } from "./commands/apply.js";
+import { diff } from "./commands/diff.js";
 import { entry } from "./commands/entry.js";
 import { key } from "./commands/key.js";
+import { lookup } from "./commands/lookup.js";
+import { status } from "./commands/status.js";
+import { timeline } from "./commands/timeline.js";
 import { validate } from "./commands/validate.js";
 
 interface ProgramOutput {
@@ -15,44 +20,65 @@
 
 const PROGRAM = "pistachioreel";
 const VERSION = "0.1.0";
-const commands: readonly Command[] = [entry, validate, apply, key];
+const commands: readonly Command[] = [entry, validate, diff, apply, key, status, lookup, timeline];
 
 /** Runs the program with its arguments. */
 export async function runProgram(args: readonly string[]): Promise<ProgramOutput> {
+    const command = commands.find(({ name }) => name === args[0]);
     const cli = meow({
         importMeta: { url: `file:///${PROGRAM}` } as ImportMeta,
         pkg: { name: PROGRAM, version: VERSION },
         argv: args,
         autoHelp: false,
         autoVersion: false,
-        flags: { help: { type: "boolean" }, version: { type: "boolean" }, json: { type: "boolean" } },
+        flags: {
+            help: { type: "boolean" },
+            version: { type: "boolean" },
+            json: { type: "boolean" },
+            ...Object.fromEntries((command?.flags ?? []).map(name => [camelCase(name), { type: "string" as const }])),
+        },
     });
-    const [name = "", ...words] = cli.input;
-    const command = commands.find(candidate => candidate.name === name);
-    if (cli.flags.version) {
+    const { help, version, json, ...given } = cli.flags as Record<string, unknown>;
+    if (version) {
         return { exitCode: 0, stdout: VERSION, stderr: "" };
     }
     if (command === undefined) {
-        return overview(name, cli.flags.help);
+        return overview(args[0] ?? "", help === true);
     }
-    if (cli.flags.help) {
+    if (help) {
         return { exitCode: 0, stdout: helpOf(command), stderr: "" };
     }
-    const result = await command.run({ words, flags: textFlags(cli.flags) });
+    const flags = checkFlags(command, given);
+    const input = flags.map(checked => ({ words: cli.input.slice(1), flags: checked }));
+    const result = input.isErr() ? err(input.error) : await command.run(input.value);
     if (result.isErr()) {
-        return failed(result.error, cli.flags.json);
+        return failed(result.error, json === true);
     }
-    const { text, json } = result.value;
-    return { exitCode: 0, stdout: cli.flags.json ? JSON.stringify(json) : text, stderr: "" };
+    return { exitCode: 0, stdout: json ? JSON.stringify(result.value.json) : result.value.text, stderr: "" };
 }
 
-function textFlags(flags: Record<string, unknown>): Record<string, string | undefined> {
-    return Object.fromEntries(
-        Object.entries(flags).filter(([, value]) => value !== undefined).map(([name, value]) => [name, String(value)]),
-    );
+/** The given flags by their names with dashes; each must be accepted by the command and have a value. */
+function checkFlags(command: Command, given: Record<string, unknown>): Result<CommandInput["flags"], Failure[]> {
+    const flags: Record<string, string> = {};
+    const failures: Failure[] = [];
+    for (const [camelName, value] of Object.entries(given).filter(([, found]) => found !== undefined)) {
+        const name = command.flags.find(accepted => camelCase(accepted) === camelName);
+        if (name === undefined || value === "") {
+            const reason = name === undefined ? `unknown flag --${camelName}` : `--${name} needs a value`;
+            failures.push(new Failure("argumentInvalid", `${command.name}: ${reason}`));
+        }
+        else {
+            flags[name] = String(value);
+        }
+    }
+    return failures.length > 0 ? err(failures) : ok(flags);
+}
+
+function camelCase(name: string): string {
+    return name.replace(/-(\w)/g, (_, letter: string) => letter.toUpperCase());
 }
 
-function overview(name: string, isHelp: boolean | undefined): ProgramOutput {
+function overview(name: string, isHelp: boolean): ProgramOutput {
     const lines = commands.map(({ name: command, summary }) => `  ${command.padEnd(10)} ${summary}`);
     const text = [`Usage: ${PROGRAM} COMMAND [--json] [--help]`, "", ...lines].join("\n");
     if (isHelp || name === "") {
@@ -66,7 +92,7 @@
         "Exit codes: 0 done, 1 failed, 2 wrong usage. --json prints JSON.";
 }
 
-function failed(failures: readonly Failure[], json: boolean | undefined): ProgramOutput {
+function failed(failures: readonly Failure[], json: boolean): ProgramOutput {
     const isUsage = failures.every(failure => failure.code === "argumentInvalid");
     const lines = failures.map(failure => `PR${failure.number} ${failure.message}\n  hint: ${failure.hint}`);
     const entries = failures.map(({ number, code, message, hint, details }) => ({
--- /dev/null
+++ b/cli/src/withStore.ts
@@ -0,0 +1,22 @@
+import type { HttpObjectStore } from "@pistachioreel/platform-store";
+import type { Failure } from "@pistachioreel/result-code";
+import { err, type Result } from "neverthrow";
+import type { CommandInput } from "./command.js";
+import { openStore } from "./openStore.js";
+
+/** Runs work with the store of the command line and closes it afterwards. */
+export async function withStore<T>(
+    input: CommandInput,
+    work: (store: HttpObjectStore) => Promise<Result<T, Failure>>,
+): Promise<Result<T, readonly Failure[]>> {
+    const store = openStore(input);
+    if (store.isErr()) {
+        return err([store.error]);
+    }
+    try {
+        return (await work(store.value)).mapErr(failure => [failure]);
+    }
+    finally {
+        await store.value.close();
+    }
+}
--- a/config/src/index.ts
+++ b/config/src/index.ts
@@ -1,4 +1,6 @@
 export { Configuration } from "./configuration.js";
+export type { ConfigurationChange } from "./configurationChange.js";
+export { diffConfigurations } from "./diffConfigurations.js";
 export type { Target } from "./inventory.js";
 export { parseInventory } from "./parseInventory.js";
 export { parseRules } from "./parseRules.js";
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -30,6 +30,8 @@
 writeFileSync("dist/sea.json", JSON.stringify(seaConfig));
 execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "ignore" });
 copyFileSync(process.execPath, `${BINARY}.new`);
+// postject reports harmless ELF notes of the node executable as warnings.
+console.warn = console.log = () => {};
 await inject(`${BINARY}.new`, "NODE_SEA_BLOB", readFileSync("dist/sea.blob"), { sentinelFuse: SEA_FUSE });
 chmodSync(`${BINARY}.new`, 0o755);
 // Renaming keeps processes that still run the old binary intact.
--- a/testing/src/fleet.ts
+++ b/testing/src/fleet.ts
@@ -170,8 +170,8 @@
         this.store = await this.startStandIn(storeArgs);
         await this.publishHosts();
         await Promise.all(this.opts.targets(this.network).map(target => this.startTarget(target)));
-        await this.apply();
         await Promise.all(this.opts.hosts.map((_, index) => this.startHost(index)));
+        await this.apply();
         await Promise.all(this.opts.hosts.map((_, index) => this.waitUntilReady(index)));
     }
 
--- /dev/null
+++ b/timeline/src/mergeTimelines.ts
@@ -0,0 +1,54 @@
+import type { TimelineEvent } from "./timelineEvent.js";
+
+/** Events of all processes in one order, and how far the clocks of hosts are apart. */
+export interface MergedTimeline {
+    readonly events: readonly TimelineEvent[];
+    /** Smallest correction in ms that puts each host's causes before their effects; hosts without one are left out. */
+    readonly skewMs: ReadonlyMap<string, number>;
+}
+
+/**
+ * Merges the events of several processes. Events are ordered by wall clock, corrected so that a cause on one host comes
+ * before its effect on another; events of one process keep their order.
+ */
+export function mergeTimelines(timelines: readonly (readonly TimelineEvent[])[]): MergedTimeline {
+    const events = [...new Map(timelines.flat().map(event => [referenceOf(event), event])).values()];
+    const skewMs = estimateSkew(events);
+    const correctedTime = (event: TimelineEvent) => event.time + (skewMs.get(event.host) ?? 0);
+    const byTime = (a: TimelineEvent, b: TimelineEvent) => correctedTime(a) - correctedTime(b) || causeFirst(a, b);
+    return { events: keepProcessOrder([...events].sort(byTime)), skewMs };
+}
+
+/** Order of two events of the same corrected time. */
+function causeFirst(a: TimelineEvent, b: TimelineEvent): number {
+    return Number(a.cause === referenceOf(b)) - Number(b.cause === referenceOf(a));
+}
+
+function referenceOf({ host, incarnation, sequence }: TimelineEvent): string {
+    return `${host}/${incarnation}/${sequence}`;
+}
+
+function estimateSkew(events: readonly TimelineEvent[]): Map<string, number> {
+    const byReference = new Map(events.map(event => [referenceOf(event), event]));
+    const skewMs = new Map<string, number>();
+    for (const effect of events) {
+        const cause = byReference.get(effect.cause ?? "");
+        if (cause !== undefined && cause.host !== effect.host && cause.time > effect.time) {
+            skewMs.set(effect.host, Math.max(skewMs.get(effect.host) ?? 0, cause.time - effect.time));
+        }
+    }
+    return skewMs;
+}
+
+/** A step of the wall clock can put later events of a process before earlier ones; the sequence decides. */
+function keepProcessOrder(sorted: readonly TimelineEvent[]): TimelineEvent[] {
+    const inSequence = new Map<string, TimelineEvent[]>();
+    for (const event of sorted) {
+        const process = `${event.host}/${event.incarnation}`;
+        const events = inSequence.get(process) ?? [];
+        events.push(event);
+        inSequence.set(process, events);
+    }
+    inSequence.forEach(events => events.sort((a, b) => a.sequence - b.sequence));
+    return sorted.map(event => inSequence.get(`${event.host}/${event.incarnation}`)?.shift() ?? event);
+}
