Link hosts over ws with proved secrets, heartbeats and bounded queues

Hosts had no links, so nothing could be relayed, lent or shared between them. One link per pair; each heartbeat (500 ms) also answers the newest one received, which halves the frames and bounds the age of what a peer says. The store client binds the host's own address, as links do, so that the fault proxy tells hosts apart. PartitionableFleet puts proxies before the listeners for peers and before the store.

--- a/entry/src/adminListener.ts
+++ b/entry/src/adminListener.ts
@@ -1,4 +1,5 @@
 import { getRequestListener } from "@hono/node-server";
+import type { WebSocketMesh } from "@pistachioreel/peering";
 import type { HttpObjectStore } from "@pistachioreel/platform-store";
 import type { Timeline } from "@pistachioreel/timeline";
 import { Hono } from "hono";
@@ -12,6 +13,7 @@
     readonly incarnation: string;
     readonly state: FleetState;
     readonly store: HttpObjectStore;
+    readonly mesh: WebSocketMesh;
     readonly metrics: EntryMetrics;
     readonly timeline: Timeline;
     readonly isReady: () => boolean;
@@ -34,7 +36,7 @@
     });
 }
 
-function statusOf({ hostId, availabilityZone, incarnation, state, store, isReady }: AdminListenerOptions) {
+function statusOf({ hostId, availabilityZone, incarnation, state, store, mesh, isReady }: AdminListenerOptions) {
     return {
         hostId,
         availabilityZone,
@@ -42,6 +44,8 @@
         ready: isReady(),
         documents: { config: state.versionOf("config"), keys: state.versionOf("keys"), plan: state.versionOf("plan") },
         storeCalls: store.calls,
+        peers: mesh.peers(),
+        peerTraffic: mesh.traffic,
     };
 }
 
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,10 +1,10 @@
 import type { Settings } from "@pistachioreel/config";
 import { Delivery, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
-import { HttpObjectStore } from "@pistachioreel/platform-store";
+import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
+import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
 import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
-import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
 import { CallerListener } from "./callerListener.js";
@@ -15,8 +15,6 @@
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
-const INCARNATION_BYTES = 6;
-
 /** One entry host: it takes requests from callers and delivers them to targets. */
 export class EntryHost {
     private readonly state = new FleetState();
@@ -27,14 +25,24 @@
     private readonly store: HttpObjectStore;
     private readonly callers: CallerListener;
     private readonly admin: Server;
+    private readonly mesh: WebSocketMesh;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
         const { hostId, availabilityZone, region } = settings;
-        const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+        const incarnation = newIncarnation();
         const timeline = new Timeline(hostId, incarnation);
         this.logger = new Logger(hostId, { level: settings.logLevel });
-        this.store = new HttpObjectStore(settings.store.url);
+        this.store = new HttpObjectStore(settings.store.url, { localAddress: settings.peers.address });
+        this.mesh = new WebSocketMesh({
+            identity: { hostId, incarnation, availabilityZone, region },
+            ...settings.peers,
+            now: monotonicNow,
+            onEvent: (event, fields) => {
+                timeline.record(event, { fields });
+                this.logger.info({ event, fields });
+            },
+        });
         const slots = new SlotLedger();
         const { state, metrics } = this;
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
@@ -53,7 +61,12 @@
             }),
             now: monotonicNow,
         });
-        this.admin = createAdminListener({ ...shared, store: this.store, isReady: () => this.isReady });
+        this.admin = createAdminListener({
+            ...shared,
+            store: this.store,
+            mesh: this.mesh,
+            isReady: () => this.isReady,
+        });
         state.onChange(name => {
             const fields = { document: name, version: state.versionOf(name) };
             timeline.record("document-in-force", { fields });
@@ -72,12 +85,13 @@
     /** Opens the listeners and starts to follow the store. Rejects if an address is in use. */
     async start(): Promise<void> {
         const { callers, admin, hostId } = this.settings;
+        await this.mesh.start();
         await listen(this.admin, admin);
         await listen(this.callers.server, callers);
         const { store, state, logger } = this;
         const { signal } = this.stopping;
         void new DocumentWatch({ store, state, logger, signal }).run();
-        void pollHostList(store, state, signal);
+        void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         this.logger.info({
             event: "host-started",
             fields: { host: hostId, callers: `${callers.address}:${callers.port}` },
@@ -91,6 +105,7 @@
         const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
+        this.mesh.stop();
         this.admin.close();
         this.admin.closeAllConnections();
         await this.store.close();
@@ -99,6 +114,11 @@
         return drained;
     }
 
+    private takeHosts(hosts: readonly ListedHost[]): void {
+        this.state.hosts = hosts;
+        this.mesh.setPeers(hosts.map(({ id, peers }) => ({ hostId: id, address: peers })));
+    }
+
     private retainPools(): void {
         const ids = new Set(this.state.configuration?.targets.map(target => target.id));
         this.pools.retain(ids).catch((error: Error) => {
--- /dev/null
+++ b/membership/src/index.ts
@@ -0,0 +1,1 @@
+export type { RosterView } from "./rosterView.js";
--- a/peering/src/peerMesh.ts
+++ b/peering/src/peerMesh.ts
@@ -22,6 +22,19 @@
     message: PeerMessage,
 ) => PeerMessage | void | Promise<PeerMessage | void>;
 
+/** Part of each heartbeat that belongs to one package. */
+export interface HeartbeatPart {
+    /** What the next heartbeat says; it must be small, as it is sent to every peer twice a second. */
+    payload(): unknown;
+    /**
+     * Takes the payload of a peer, which the receiver checks against its schema.
+     *
+     * @param askedAt Monotonic time in ms of the newest own heartbeat that the peer had received when it made the
+     *     payload, so the payload is at most `now - askedAt` old; `undefined` if the peer has received none yet.
+     */
+    receive(from: PeerIdentity, payload: unknown, askedAt: number | undefined): void;
+}
+
 /** Links to the other hosts of the fleet. Sending never blocks and never grows memory without bound. */
 export interface PeerMesh {
     /** Peers with a link that works now. */
@@ -32,4 +45,10 @@
     request(hostId: string, message: PeerMessage, timeoutMs: number): Promise<Result<PeerMessage, Failure>>;
     /** Registers the handler of a message type; there is one for each type. */
     handle(type: string, handler: PeerHandler): void;
+    /** Adds a part to all heartbeats; there is one of each name. */
+    attach(name: string, part: HeartbeatPart): void;
+    /** Sends a heartbeat to all peers now instead of at the next interval of 500 ms. */
+    beat(): void;
+    /** Registers a function that is called when a link to a peer opens or closes. */
+    onPeersChange(listener: () => void): void;
 }
--- /dev/null
+++ b/peering/src/webSocketMesh.ts
@@ -0,0 +1,202 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, type Result } from "neverthrow";
+import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
+import { WebSocket, WebSocketServer } from "ws";
+import { FrameSocket } from "./frameSocket.js";
+import { shakeHands } from "./handshake.js";
+import type { LinkTraffic } from "./linkTraffic.js";
+import { PeerLink } from "./peerLink.js";
+import type { HeartbeatPart, PeerHandler, PeerIdentity, PeerMesh, PeerMessage } from "./peerMesh.js";
+
+interface KnownPeer {
+    readonly hostId: string;
+    /** `address:port` of its listener for other hosts. */
+    readonly address: string;
+}
+
+interface WebSocketMeshOptions {
+    readonly identity: PeerIdentity;
+    readonly address: string;
+    readonly port: number;
+    /** The first is offered, all are accepted. */
+    readonly secrets: readonly string[];
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    /** Told of links that opened, closed or were rejected. */
+    readonly onEvent?: (event: "peer-linked" | "peer-lost" | "peer-rejected", fields: Record<string, string>) => void;
+}
+
+const MAX_FRAME_BYTES = 512 * 1024;
+const MAX_UNPROVED_CONNECTIONS = 256;
+const OPEN_TIMEOUT_MS = 2_000;
+const MIN_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 3_000;
+/** The host with the higher id opens a link only if the other has not done so for this long. */
+const SECOND_OPENER_DELAY_MS = 1_000;
+const LINKED_CHECK_MS = 500;
+
+/** Links over WebSocket to all known hosts, one per pair. */
+export class WebSocketMesh implements PeerMesh {
+    readonly traffic: LinkTraffic = { sentFrames: 0, sentBytes: 0, receivedBytes: 0, dropped: 0 };
+    private readonly links = new Map<string, PeerLink>();
+    /** Newest incarnation of each host that has been linked. */
+    private readonly incarnations = new Map<string, string>();
+    private readonly known = new Map<string, string>();
+    private readonly keepers = new Set<string>();
+    private readonly handlers = new Map<string, PeerHandler>();
+    private readonly parts = new Map<string, HeartbeatPart>();
+    private readonly listeners: (() => void)[] = [];
+    private readonly stopping = new AbortController();
+    private server: WebSocketServer | undefined;
+    private unproved = 0;
+
+    constructor(private readonly opts: WebSocketMeshOptions) {}
+
+    /** Opens the listener. Rejects if its address is in use. */
+    async start(): Promise<void> {
+        const { address: host, port } = this.opts;
+        this.server = new WebSocketServer({ host, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false });
+        this.server.on("connection", socket => void this.accept(socket));
+        await once(this.server, "listening");
+    }
+
+    /** Closes the listener and all links. */
+    stop(): void {
+        this.stopping.abort();
+        this.server?.close();
+        this.server?.clients.forEach(client => client.terminate());
+        [...this.links.values()].forEach(link => link.close());
+    }
+
+    /** Sets the hosts to keep links with. An open link to a host that is no longer named stays until it closes. */
+    setPeers(peers: readonly KnownPeer[]): void {
+        this.known.clear();
+        for (const { hostId, address } of peers) {
+            if (hostId === this.opts.identity.hostId) {
+                continue;
+            }
+            this.known.set(hostId, address);
+            if (!this.keepers.has(hostId)) {
+                this.keepers.add(hostId);
+                void this.keepLinked(hostId);
+            }
+        }
+    }
+
+    peers(): readonly PeerIdentity[] {
+        return [...this.links.values()].filter(link => link.isOpen).map(link => link.peer);
+    }
+
+    send(hostId: string, message: PeerMessage): boolean {
+        return this.links.get(hostId)?.send(message) ?? false;
+    }
+
+    async request(hostId: string, message: PeerMessage, timeoutMs: number): Promise<Result<PeerMessage, Failure>> {
+        const link = this.links.get(hostId);
+        return link?.request(message, timeoutMs) ?? err(new Failure("peerUnreachable", `no link to ${hostId}`));
+    }
+
+    handle(type: string, handler: PeerHandler): void {
+        this.handlers.set(type, handler);
+    }
+
+    attach(name: string, part: HeartbeatPart): void {
+        this.parts.set(name, part);
+    }
+
+    beat(): void {
+        this.links.forEach(link => link.beat());
+    }
+
+    onPeersChange(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** The task of one peer: opens a link whenever there is none, until the peer is no longer known. */
+    private async keepLinked(hostId: string): Promise<void> {
+        const { signal } = this.stopping;
+        const isSecondOpener = this.opts.identity.hostId > hostId;
+        let failures = 0;
+        while (!signal.aborted && this.known.has(hostId)) {
+            const mayOpen = !this.links.has(hostId) && (!isSecondOpener || failures > 0);
+            const wasLinked = mayOpen && await this.open(hostId);
+            failures = this.links.has(hostId) || wasLinked ? 0 : failures + 1;
+            await sleep(this.links.has(hostId) ? LINKED_CHECK_MS : waitMs(failures, isSecondOpener), undefined, {
+                signal,
+            }).catch(() => undefined);
+        }
+        this.keepers.delete(hostId);
+    }
+
+    /** Opens a connection and runs it until it closes; tells whether it became a link. */
+    private async open(hostId: string): Promise<boolean> {
+        const socket = new WebSocket(`ws://${this.known.get(hostId)}`, {
+            localAddress: this.opts.address,
+            handshakeTimeout: OPEN_TIMEOUT_MS,
+            maxPayload: MAX_FRAME_BYTES,
+            perMessageDeflate: false,
+        });
+        return this.run(socket, "opener", hostId);
+    }
+
+    private async accept(socket: WebSocket): Promise<void> {
+        if (this.unproved >= MAX_UNPROVED_CONNECTIONS || this.stopping.signal.aborted) {
+            socket.terminate();
+            return;
+        }
+        this.unproved++;
+        await this.run(socket, "acceptor", undefined);
+    }
+
+    private async run(socket: WebSocket, side: "opener" | "acceptor", expected: string | undefined): Promise<boolean> {
+        const { identity, secrets, now } = this.opts;
+        const frames = new FrameSocket(socket, this.traffic);
+        const proved = await shakeHands(frames, side, { identity, secrets: secrets as [string, ...string[]] });
+        this.unproved -= side === "acceptor" ? 1 : 0;
+        if (proved.isErr() || !this.isAcceptable(proved.value, expected)) {
+            frames.terminate();
+            const code = proved.isErr() ? proved.error.code : "peerRejected";
+            if (code !== "peerUnreachable") {
+                this.opts.onEvent?.("peer-rejected", { peer: expected ?? "", reason: code });
+            }
+            return false;
+        }
+        const { handlers, parts } = this;
+        const link = new PeerLink({ peer: proved.value, socket: frames, handlers, parts, now });
+        await this.serve(link);
+        return true;
+    }
+
+    /** Serves a link; it replaces an earlier link to the same host, which may be half open. */
+    private async serve(link: PeerLink): Promise<void> {
+        const { hostId, incarnation } = link.peer;
+        this.links.get(hostId)?.close();
+        this.links.set(hostId, link);
+        this.incarnations.set(hostId, incarnation);
+        this.notify("peer-linked", hostId);
+        await link.run();
+        if (this.links.get(hostId) === link) {
+            this.links.delete(hostId);
+            this.notify("peer-lost", hostId);
+        }
+    }
+
+    private isAcceptable({ hostId, incarnation }: PeerIdentity, expected: string | undefined): boolean {
+        const isNamedRight = hostId !== this.opts.identity.hostId && (expected ?? hostId) === hostId;
+        return isNamedRight && incarnation >= (this.incarnations.get(hostId) ?? "");
+    }
+
+    private notify(event: "peer-linked" | "peer-lost", peer: string): void {
+        this.opts.onEvent?.(event, { peer });
+        this.listeners.forEach(listener => listener());
+    }
+}
+
+/** Full jitter keeps hosts that lost each other at the same moment from opening links at the same moment. */
+function waitMs(failures: number, isSecondOpener: boolean): number {
+    if (isSecondOpener && failures === 1) {
+        return SECOND_OPENER_DELAY_MS;
+    }
+    return MIN_BACKOFF_MS + Math.random() * Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** failures);
+}
--- /dev/null
+++ b/peering/test/peerMesh.test.ts
@@ -0,0 +1,94 @@
+import { PartitionableFleet } from "@pistachioreel/testing";
+import assert from "node:assert/strict";
+import { after, afterEach, before, test } from "node:test";
+import { WebSocket } from "ws";
+import { frameCodec } from "../src/frames.js";
+
+const PEERS_PORT = 7003;
+const LINKS = [2, 2, 2, 0];
+let hosts: PartitionableFleet;
+
+interface PeerStatus {
+    readonly incarnation: string;
+    readonly peers: readonly { readonly hostId: string; readonly incarnation: string; }[];
+}
+
+before(async () => {
+    hosts = await PartitionableFleet.start({
+        zones: ["tbilisi-a", "tbilisi-a", "tbilisi-a", "tbilisi-a"],
+        // The second host knows one more secret, as in a rotation; the fourth knows only another one.
+        settings: (settings, index) => {
+            const shared = settings.peers.secrets[0] as string;
+            const other = "another-shared-secret-for-tests";
+            const secrets = [[shared], [shared, other], [shared], ["a-secret-of-nobody-else"]][index] as string[];
+            return { ...settings, peers: { ...settings.peers, secrets } };
+        },
+    });
+    await waitForLinks(LINKS);
+});
+
+afterEach(async () => {
+    hosts.heal();
+    await waitForLinks(LINKS);
+});
+
+after(() => hosts?.stop());
+
+function waitForLinks(expected: readonly number[]): Promise<number> {
+    return hosts.waitForAll<PeerStatus>(
+        `links ${expected.join(" ")}`,
+        ({ peers }, index) => peers.length === expected[index],
+    );
+}
+
+test("a stranger without the secret gets nothing but a challenge", async () => {
+    const nonce = new Uint8Array(32);
+    const identity = { hostId: "host-1", incarnation: "9", availabilityZone: "tbilisi-a", region: "tbilisi" };
+    const forgeries = [
+        { type: "hello", protocol: 1, nonce, proof: nonce, identity },
+        ["heartbeat", 1, 0, {}],
+        ["request", 1, { type: "pull", name: "keys" }],
+    ];
+    for (const forgery of forgeries) {
+        const stranger = new WebSocket(`ws://${hosts.fleet.network.address(1, 0)}:${PEERS_PORT}`);
+        const frames: { type: string; }[] = [];
+        stranger.on("message", (bytes: Buffer) => frames.push(frameCodec.unpack(bytes) as { type: string; }));
+        await new Promise(resolve => stranger.once("message", resolve));
+        stranger.send(frameCodec.pack(forgery));
+        await new Promise(resolve => stranger.once("close", resolve));
+        assert.deepEqual(frames.map(({ type }) => type), ["challenge"]);
+    }
+});
+
+for (const mode of ["silent", "silent-to-client", "silent-to-server"] as const) {
+    test(`a link that goes ${mode} is noticed by both sides from missing answers`, async () => {
+        hosts.setPeerFault((opener, acceptor) => opener === 0 || acceptor === 0 ? { mode } : { mode: "pass" });
+        const noticedMs = await waitForLinks([0, 1, 1, 0]);
+        process.stdout.write(`${mode}: noticed after ${Math.round(noticedMs)} ms\n`);
+        // Three unanswered heartbeats (1.5 s) and the interval in which the third is judged, twice if one side is first.
+        assert.ok(noticedMs < 3_000, `noticed after ${noticedMs} ms`);
+    });
+}
+
+test("open connections that go silent for good are replaced by new ones", async () => {
+    hosts.silenceOpenLinks();
+    await hosts.waitForAll<PeerStatus>("no silent link", ({ peers }) => peers.length === 0, { hosts: [0] });
+    await waitForLinks(LINKS);
+});
+
+test("hosts link even if only one of the two can open connections", async () => {
+    hosts.setPeerFault((opener, acceptor) => opener < acceptor ? { mode: "refuse" } : { mode: "pass" });
+    await waitForLinks(LINKS);
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    assert.equal((await hosts.status<PeerStatus>(0)).peers.length, 2);
+});
+
+test("a restarted host replaces its earlier incarnation", async () => {
+    const { incarnation } = await hosts.status<PeerStatus>(2);
+    await hosts.fleet.hosts[2]?.end("SIGKILL");
+    await hosts.fleet.startHost(2);
+    await hosts.waitForAll<PeerStatus>("host-2 is linked under a later incarnation", ({ peers }) => {
+        const seen = peers.find(({ hostId }) => hostId === "host-2")?.incarnation ?? "";
+        return seen > incarnation;
+    }, { hosts: [0, 1] });
+});
--- a/platform-store/src/httpObjectStore.ts
+++ b/platform-store/src/httpObjectStore.ts
@@ -10,6 +10,8 @@
     /** Time that a call may take, in ms. */
     readonly timeoutMs?: number;
     readonly connections?: number;
+    /** Own address that connections come from. */
+    readonly localAddress?: string;
 }
 
 interface Answer {
@@ -36,7 +38,10 @@
     private readonly timeoutMs: number;
 
     constructor(url: string, opts: HttpObjectStoreOptions = {}) {
-        this.pool = new Pool(url, { connections: opts.connections ?? DEFAULT_CONNECTIONS });
+        this.pool = new Pool(url, {
+            connections: opts.connections ?? DEFAULT_CONNECTIONS,
+            ...(opts.localAddress === undefined ? {} : { localAddress: opts.localAddress }),
+        });
         this.timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     }
 
--- a/testing/src/fleet.ts
+++ b/testing/src/fleet.ts
@@ -27,7 +27,8 @@
     readonly region: string;
 }
 
-interface FleetOptions {
+/** Options of a fleet. */
+export interface FleetOptions {
     readonly hosts: readonly HostPlace[];
     readonly targets: (network: LoopbackNetwork) => readonly FleetTarget[];
     /** Rules file (JSON with comments). */
@@ -38,6 +39,8 @@
     readonly listed?: (host: ListedHost, index: number) => ListedHost;
     /** Changes to the inventory address of a target, for example that of a proxy. */
     readonly inventoryAddress?: (target: FleetTarget) => string;
+    /** Runs before any process starts, for example to start proxies. */
+    readonly beforeStart?: (fleet: Fleet) => Promise<void>;
 }
 
 const STAND_IN = "dist/standIn.cjs";
@@ -166,6 +169,7 @@
 
     private async startAll(): Promise<void> {
         writeFileSync(this.recordsFile, "");
+        await this.opts.beforeStart?.(this);
         const storeArgs = ["store", "--address", this.storeAddress, "--port", String(STORE_PORT)];
         this.store = await this.startStandIn(storeArgs);
         await this.publishHosts();
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -5,5 +5,6 @@
 export { type ConnectionFault, FaultProxy } from "./faultProxy.js";
 export { Fleet, type FleetTarget } from "./fleet.js";
 export { LoopbackNetwork } from "./loopbackNetwork.js";
+export { PartitionableFleet } from "./partitionableFleet.js";
 export { runProgram } from "./runProgram.js";
 export type { TargetRecord } from "./targetRecord.js";
--- /dev/null
+++ b/testing/src/partitionableFleet.ts
@@ -0,0 +1,156 @@
+import { request } from "undici";
+import { type ConnectionFault, FaultProxy } from "./faultProxy.js";
+import { Fleet, type FleetOptions } from "./fleet.js";
+
+interface PartitionableFleetOptions {
+    /** Availability zone of each host, named `<region>-<letter>`. */
+    readonly zones: readonly string[];
+    readonly rules?: string;
+    readonly settings?: FleetOptions["settings"];
+}
+
+const HOST_GROUP = 1;
+const TARGET_GROUP = 2;
+const PROXY_GROUP = 3;
+const STORE_PROXY_INDEX = 198;
+const STORE_PORT = 7000;
+const PEERS_PORT = 7003;
+const TARGET_PORT = 8080;
+const POLL_MS = 20;
+const DEFAULT_RULES = JSON.stringify({
+    deployment: "test",
+    services: { schedule: {} },
+    routes: [
+        { path: "/visits", methods: ["GET"], service: "schedule", idempotent: true },
+        { path: "/notices", methods: ["GET"], service: "schedule", idempotent: true, open: true },
+    ],
+    workspaces: { bank: { rate: 10_000, burst: 10_000 }, courts: { rate: 10_000, burst: 10_000 } },
+});
+const pass: ConnectionFault = { mode: "pass" };
+
+/** A fleet with one target per zone, and with a fault proxy before each host's listener for peers and before the store. */
+export class PartitionableFleet {
+    private readonly peerProxies: FaultProxy[] = [];
+    private storeProxy: FaultProxy | undefined;
+
+    private constructor(readonly fleet: Fleet, private readonly zones: readonly string[]) {}
+
+    static async start(
+        { zones, rules = DEFAULT_RULES, settings }: PartitionableFleetOptions,
+    ): Promise<PartitionableFleet> {
+        const places = zones.map(availabilityZone => ({ availabilityZone, region: regionOf(availabilityZone) }));
+        const proxied: { self?: PartitionableFleet; } = {};
+        const fleet = await Fleet.start({
+            hosts: places,
+            targets: network =>
+                [...new Set(zones)].map((availabilityZone, index) => ({
+                    address: network.address(TARGET_GROUP, index),
+                    port: TARGET_PORT,
+                    availabilityZone,
+                    region: regionOf(availabilityZone),
+                    service: "schedule",
+                    slots: 50,
+                })),
+            rules,
+            beforeStart: async started => {
+                proxied.self = new PartitionableFleet(started, zones);
+                await proxied.self.startProxies();
+            },
+            settings: (own, index) => {
+                const url = `http://${inGroup(own.peers.address, PROXY_GROUP, STORE_PROXY_INDEX)}:${STORE_PORT}`;
+                const changed = { ...own, store: { url } };
+                return settings?.(changed, index) ?? changed;
+            },
+            listed: (host, index) => ({ ...host, peers: `${inGroup(host.peers, PROXY_GROUP, index)}:${PEERS_PORT}` }),
+        });
+        return proxied.self ?? new PartitionableFleet(fleet, zones);
+    }
+
+    /** Sets the fault of links between two hosts, whichever of them opened the connection. */
+    setPeerFault(faultOf: (opener: number, acceptor: number) => ConnectionFault): void {
+        this.peerProxies.forEach((proxy, acceptor) =>
+            proxy.setFault(source => faultOf(this.indexOf(source), acceptor))
+        );
+    }
+
+    /** Sets the fault of connections to the store. Operators' commands do not pass the proxy. */
+    setStoreFault(faultOf: (host: number) => ConnectionFault): void {
+        this.storeProxy?.setFault(source => faultOf(this.indexOf(source)));
+    }
+
+    /** Makes all connections silent between hosts of different groups, and to the store except from group 0. */
+    partition(groupOf: (host: number) => number): void {
+        this.setPeerFault((opener, acceptor) => groupOf(opener) === groupOf(acceptor) ? pass : { mode: "silent" });
+        this.setStoreFault(host => groupOf(host) === 0 ? pass : { mode: "silent" });
+    }
+
+    /** Ends all faults of the network. Connections that were silent are reset, as their bytes are lost. */
+    heal(): void {
+        for (const proxy of [...this.peerProxies, this.storeProxy]) {
+            proxy?.setFault(() => ({ mode: "refuse" }));
+            proxy?.setFault(() => pass);
+        }
+    }
+
+    /** Makes the open links between hosts silent for good; new ones work. */
+    silenceOpenLinks(): void {
+        this.peerProxies.forEach(proxy => proxy.silenceOpenConnections());
+    }
+
+    /** What a host's admin listener says at `/v1/status`. */
+    async status<T>(index: number): Promise<T> {
+        const response = await request(`http://${this.fleet.adminOf(index)}/v1/status`);
+        return await response.body.json() as T;
+    }
+
+    /** Waits until the check holds for the status of each of the hosts, all by default; returns the time taken in ms. */
+    async waitForAll<T>(
+        description: string,
+        check: (status: T, index: number) => boolean,
+        { timeoutMs = 15_000, hosts = this.zones.map((_, index) => index) } = {},
+    ): Promise<number> {
+        const startedAt = performance.now();
+        let waiting = hosts;
+        while (performance.now() - startedAt < timeoutMs) {
+            const found = await Promise.all(hosts.map(index => this.status<T>(index).catch(() => undefined)));
+            waiting = hosts.filter((host, index) => found[index] === undefined || !check(found[index], host));
+            if (waiting.length === 0) {
+                return performance.now() - startedAt;
+            }
+            await new Promise(resolve => setTimeout(resolve, POLL_MS));
+        }
+        const last = await Promise.all(waiting.map(index => this.status<T>(index).catch(String)));
+        throw new Error(`not in ${timeoutMs} ms: ${description}; hosts ${waiting.join(" ")}: ${JSON.stringify(last)}`);
+    }
+
+    async stop(): Promise<void> {
+        this.peerProxies.forEach(proxy => proxy.close());
+        this.storeProxy?.close();
+        await this.fleet.stop();
+    }
+
+    private async startProxies(): Promise<void> {
+        const { network } = this.fleet;
+        const at = (group: number, index: number, port: number) => ({ address: network.address(group, index), port });
+        const storeListen = at(PROXY_GROUP, STORE_PROXY_INDEX, STORE_PORT);
+        this.storeProxy = await new FaultProxy(storeListen, at(0, 0, STORE_PORT)).start();
+        for (const index of this.zones.keys()) {
+            const proxy = new FaultProxy(at(PROXY_GROUP, index, PEERS_PORT), at(HOST_GROUP, index, PEERS_PORT));
+            this.peerProxies.push(await proxy.start());
+        }
+    }
+
+    private indexOf(source: string): number {
+        return Number(source.split(".")[3]) - 1;
+    }
+}
+
+function regionOf(availabilityZone: string): string {
+    return availabilityZone.split("-")[0] as string;
+}
+
+/** The address of another group of the same loopback network as that of a host. */
+function inGroup(hostAddress: string, group: number, index: number): string {
+    const [first, second, third] = hostAddress.split(".").map(Number) as [number, number, number];
+    return `${first}.${second}.${third - HOST_GROUP + group}.${index + 1}`;
+}
