Count closed links in the test of silent connections

The test waited for a moment without any link, which a poll every 20 ms can miss because links are replaced one at a time. It now waits until both silent links have been closed, which is as strict and not a matter of timing.

--- a/peering/test/peerMesh.test.ts
+++ b/peering/test/peerMesh.test.ts
@@ -41,6 +41,10 @@
     );
 }
 
+function lostLinks(host: number): number {
+    return hosts.fleet.hosts[host]?.lines.filter(line => line.includes("event=peer-lost")).length ?? 0;
+}
+
 test("a stranger without the secret gets nothing but a challenge", async () => {
     const nonce = new Uint8Array(32);
     const identity = { hostId: "host-1", incarnation: "9", availabilityZone: "tbilisi-a", region: "tbilisi" };
@@ -71,8 +75,9 @@
 }
 
 test("open connections that go silent for good are replaced by new ones", async () => {
+    const lostBefore = lostLinks(0);
     hosts.silenceOpenLinks();
-    await hosts.waitForAll<PeerStatus>("no silent link", ({ peers }) => peers.length === 0, { hosts: [0] });
+    await hosts.waitForAll("both silent links are closed", () => lostLinks(0) >= lostBefore + 2, { hosts: [0] });
     await waitForLinks(LINKS);
 });
 
