Queue requests fairly and place them on events

Cause: PollingTargetQueue let every waiting request look for a slot each 5 ms.

Change: FairTargetQueue keeps one FairQueue for each service: priorities with a minimum share of a tenth, deficit round robin between workspaces by slot time, at most 256 waiting requests per workspace (queueFull), deadline and disconnect leave at once. A released slot, a new configuration and a timer of 50 ms place waiting requests. A workspace that holds more than its part by rate leaves a fifth of the slots free. The schema of the plan document is defined.

--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -2,7 +2,7 @@
 import { Delivery, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
 import { HttpObjectStore } from "@pistachioreel/platform-store";
-import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
+import { FairTargetQueue, NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
@@ -37,18 +37,20 @@
         this.store = new HttpObjectStore(settings.store.url);
         const slots = new SlotLedger();
         const { state, metrics } = this;
+        const queue = new FairTargetQueue({
+            chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
+            slots,
+            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+            weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
+            now: monotonicNow,
+        });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
         this.callers = new CallerListener({
             ...shared,
             admission: new WorkspaceAdmission(state, monotonicNow),
             delivery: new Delivery({
                 pools: this.pools,
-                queue: new PollingTargetQueue({
-                    chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-                    slots,
-                    targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-                    now: monotonicNow,
-                }),
+                queue,
                 now: monotonicNow,
             }),
             now: monotonicNow,
@@ -60,6 +62,7 @@
             this.logger.info({ event: "document-in-force", fields });
             if (name === "config") {
                 this.retainPools();
+                queue.wake();
             }
         });
     }
--- a/steering/src/index.ts
+++ b/steering/src/index.ts
@@ -1,5 +1,7 @@
+export { FairQueue, type TakeResult } from "./fairQueue.js";
+export { FairTargetQueue } from "./fairTargetQueue.js";
 export { NearestLeastLoaded } from "./nearestLeastLoaded.js";
-export { PollingTargetQueue } from "./pollingTargetQueue.js";
+export { type Plan, planSchema } from "./plan.js";
 export type { SlotGrant, SlotOutcome } from "./slotGrant.js";
 export { SlotLedger } from "./slotLedger.js";
 export type { SlotRequest } from "./slotRequest.js";
