--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -3,7 +3,7 @@
 import { Logger } from "@pistachioreel/logging";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
-import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
+import { FairTargetQueue, NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
@@ -45,18 +45,20 @@
         });
         const slots = new SlotLedger();
         const { state, metrics } = this;
+        const queue = new FairTargetQueue({
+            chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
+            slots,
+            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+            weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
+            now: monotonicNow,
+        });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
         this.callers = new CallerListener({
             ...shared,
             admission: new WorkspaceAdmission(state, monotonicNow),
             delivery: new Delivery({
                 pools: this.pools,
-                queue: new PollingTargetQueue({
-                    chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-                    slots,
-                    targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-                    now: monotonicNow,
-                }),
+                queue,
                 now: monotonicNow,
             }),
             now: monotonicNow,
@@ -73,6 +75,7 @@
             this.logger.info({ event: "document-in-force", fields });
             if (name === "config") {
                 this.retainPools();
+                queue.wake();
             }
         });
     }
