Add the drain command

Drains and returns are entries of the plan document; repeating one is harmless and a race between operators is read again and repeated. Hosts put the plan in force; moving the work under the shift cap is built in steering and not part of this commit.

--- /dev/null
+++ b/cli/src/commands/drain.ts
@@ -0,0 +1,111 @@
+import { DocumentRepository } from "@pistachioreel/documents";
+import type { HttpObjectStore } from "@pistachioreel/platform-store";
+import { Failure } from "@pistachioreel/result-code";
+import { type Plan, planSchema } from "@pistachioreel/steering";
+import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import type { Command, CommandInput, CommandOutput } from "../command.js";
+import { waitInForce } from "../waitInForce.js";
+import { withStore } from "../withStore.js";
+
+type Drain = Plan["drains"][number];
+type Scope = Drain["scope"];
+
+const scopes: readonly Scope[] = ["host", "target", "zone", "region"];
+const MAX_COMMIT_TRIES = 5;
+const MS_PER_SECOND = 1_000;
+
+export const drain: Command = {
+    name: "drain",
+    summary: "move work away from a host, target, availability zone or region, and back",
+    flags: ["store", "finish-in", "wait"],
+    usage: `start host|target|zone|region NAME --store URL [--finish-in SECONDS] [--wait SECONDS]
+  return host|target|zone|region NAME --store URL [--wait SECONDS]
+  list --store URL
+
+Work moves under the shift cap of the rules, both ways; the cap goes before
+--finish-in. status shows progress and time left.
+
+Example: pistachioreel drain start region kutaisi --finish-in 600 --store http://10.0.0.1:7000`,
+    async run(input) {
+        const change = parseChange(input);
+        return change.isErr() ? err([change.error]) : withStore(input, store => changePlan(store, change.value, input));
+    },
+};
+
+type PlanChange = (plan: Plan) => Plan;
+
+function parseChange({ words, flags }: CommandInput): Result<PlanChange, Failure> {
+    const [action, scope, name] = words;
+    if (action === "list") {
+        return ok(plan => plan);
+    }
+    if (!isScope(scope) || name === undefined || (action !== "start" && action !== "return")) {
+        return err(new Failure("argumentInvalid", `expected: start|return ${scopes.join("|")} NAME, or list`));
+    }
+    const without = ({ drains }: Plan) => drains.filter(drain => drain.scope !== scope || drain.name !== name);
+    if (action === "return") {
+        return ok(plan => ({ drains: without(plan) }));
+    }
+    const startedAt = Date.now();
+    const finishIn = flags["finish-in"];
+    if (finishIn !== undefined && !(Number(finishIn) > 0)) {
+        return err(new Failure("argumentInvalid", "--finish-in takes a number of seconds"));
+    }
+    const finish = finishIn === undefined ? {} : { finishBy: startedAt + Number(finishIn) * MS_PER_SECOND };
+    return ok(plan => ({ drains: [...without(plan), { scope, name, startedAt, ...finish }] }));
+}
+
+function isScope(word: string | undefined): word is Scope {
+    return scopes.some(scope => scope === word);
+}
+
+/** Changes the plan as it is now; a change by another operator in between makes it read and change again. */
+async function changePlan(
+    store: HttpObjectStore,
+    change: PlanChange,
+    { flags }: CommandInput,
+): Promise<Result<CommandOutput, Failure>> {
+    const repository = new DocumentRepository(store);
+    for (let tries = 1;; tries++) {
+        const document = await repository.read("plan");
+        if (document.isErr()) {
+            return err(document.error);
+        }
+        const basedOn = document.value?.version ?? 0;
+        const before = parsePlan(document.value?.content);
+        if (before.isErr()) {
+            return err(before.error);
+        }
+        const after = change(before.value);
+        if (after === before.value) {
+            return ok({ text: renderPlan(after), json: after });
+        }
+        const committed = await repository.commit("plan", JSON.stringify(after), { basedOn, changeId: randomUUID() });
+        if (committed.isOk()) {
+            const timeout = flags["wait"] === undefined ? {} : { timeoutMs: Number(flags["wait"]) * MS_PER_SECOND };
+            const hosts = await waitInForce(store, "plan", committed.value, timeout);
+            const text = `${renderPlan(after)}\nin force on ${hosts.inForce.length} hosts`;
+            return ok({ text, json: { ...after, version: committed.value, ...hosts } });
+        }
+        if (committed.error.code !== "storeConflict" || tries >= MAX_COMMIT_TRIES) {
+            return err(committed.error);
+        }
+    }
+}
+
+function parsePlan(content: string | undefined): Result<Plan, Failure> {
+    const parsed = planSchema.safeParse(content === undefined ? { drains: [] } : JSON.parse(content));
+    return parsed.success ? ok(parsed.data) : err(new Failure("documentDamaged", "the stored plan is not valid"));
+}
+
+function renderPlan({ drains }: Plan): string {
+    if (drains.length === 0) {
+        return "no drains";
+    }
+    const line = ({ scope, name, startedAt, finishBy }: Drain) => {
+        const finish = finishBy === undefined ? "" : `, finish by ${new Date(finishBy).toISOString()}`;
+        return `drain ${scope} ${name}, started ${new Date(startedAt).toISOString()}${finish}`;
+    };
+    return drains.map(line).join("\n");
+}
--- a/cli/src/program.ts
+++ b/cli/src/program.ts
@@ -4,6 +4,7 @@
 import type { Command, CommandInput } from "./command.js";
 import { apply } from "./commands/apply.js";
 import { diff } from "./commands/diff.js";
+import { drain } from "./commands/drain.js";
 import { entry } from "./commands/entry.js";
 import { key } from "./commands/key.js";
 import { lookup } from "./commands/lookup.js";
@@ -20,7 +21,7 @@
 
 const PROGRAM = "pistachioreel";
 const VERSION = "0.1.0";
-const commands: readonly Command[] = [entry, validate, diff, apply, key, status, lookup, timeline];
+const commands: readonly Command[] = [entry, validate, diff, apply, key, drain, status, lookup, timeline];
 
 /** Runs the program with its arguments. */
 export async function runProgram(args: readonly string[]): Promise<ProgramOutput> {
--- a/cli/test/operatorCommands.test.ts
+++ b/cli/test/operatorCommands.test.ts
@@ -113,6 +113,13 @@
     assert.ok(!html.includes(wrongKey));
 });
 
+test("a drain is put in force on all hosts, repeating it is harmless, and a return removes it", async () => {
+    await fleet.operate("drain", "start", "zone", "a-1", "--finish-in", "600");
+    assert.match(await fleet.operate("drain", "start", "zone", "a-1"), /in force on 2 hosts/);
+    assert.match(await fleet.operate("drain", "list"), /^drain zone a-1, started [^,\n]+$/);
+    assert.match(await fleet.operate("drain", "return", "zone", "a-1"), /^no drains\nin force on 2 hosts/);
+});
+
 test("wrong usage exits with 2 and names the flag", async () => {
     const { exitCode, stderr } = await run("apply", "--inventroy", "x");
     assert.equal(exitCode, 2);
