Let operators and hosts prove to the store who they are

The commands wrote to the store without any proof. A bearer token now goes with each call; hosts need a token that can write only what hosts own. The token comes from the environment or the settings, never from a flag. The stand-in enforces the rights in all fleet tests.

--- a/cli/test/operatorCommands.test.ts
+++ b/cli/test/operatorCommands.test.ts
@@ -31,8 +31,13 @@
 }
 
 function run(...args: string[]): Promise<Outcome> {
+    return runAs(fleet.operatorEnvironment, ...args);
+}
+
+function runAs(environment: Record<string, string>, ...args: string[]): Promise<Outcome> {
+    const env = { ...process.env, ...environment };
     return new Promise(resolve => {
-        execFile(process.execPath, ["dist/pistachioreel.cjs", ...args], (error, stdout, stderr) => {
+        execFile(process.execPath, ["dist/pistachioreel.cjs", ...args], { env }, (error, stdout, stderr) => {
             resolve({ exitCode: typeof error?.code === "number" ? error.code : 0, stdout, stderr });
         });
     });
@@ -120,6 +125,17 @@
     assert.match(await fleet.operate("drain", "return", "zone", "a-1"), /^no drains\nin force on 2 hosts/);
 });
 
+test("nobody changes anything without the operator's token, and a host's token does not do", async () => {
+    const hostToken = fleet.settings[0]?.store.token ?? "";
+    const environments: Record<string, string>[] = [{}, { PISTACHIOREEL_STORE_TOKEN: hostToken }];
+    for (const environment of environments) {
+        const { exitCode, stderr } = await runAs(environment, "apply", ...writeRules(200));
+        assert.equal(exitCode, 1);
+        assert.match(stderr, /PR2010/);
+    }
+    assert.match((await run("diff", ...writeRules(200))).stdout, /-> 200/);
+});
+
 test("wrong usage exits with 2 and names the flag", async () => {
     const { exitCode, stderr } = await run("apply", "--inventroy", "x");
     assert.equal(exitCode, 2);
--- a/cli/test/operatorPages.test.ts
+++ b/cli/test/operatorPages.test.ts
@@ -43,7 +43,7 @@
             const env = {
                 ...process.env,
                 PATH: `${fleet.directory}:${process.env["PATH"]}`,
-                PISTACHIOREEL_STORE: fleet.storeUrl,
+                ...fleet.operatorEnvironment,
             };
             // Rejects if the command fails.
             await promisify(execFile)("sh", ["-c", command], { cwd: fleet.directory, env });
--- a/config/src/settings.ts
+++ b/config/src/settings.ts
@@ -19,7 +19,11 @@
     admin: listenerSchema,
     /** Listener for other hosts; the first secret is offered, all are accepted, which allows rotation. */
     peers: listenerSchema.extend({ secrets: z.array(z.string().min(MIN_SECRET_CHARACTERS)).min(1) }),
-    store: z.strictObject({ url: z.url({ protocol: /^https?$/, error: "an http or https URL" }) }),
+    store: z.strictObject({
+        url: z.url({ protocol: /^https?$/, error: "an http or https URL" }),
+        /** Proves to the store that the caller is a host; hosts need no right to change what operators own. */
+        token: z.string().min(MIN_SECRET_CHARACTERS).optional(),
+    }),
     /** Time that running requests get after SIGTERM, in ms. */
     drainTimeoutMs: z.number().int().positive().default(DEFAULT_DRAIN_TIMEOUT_MS),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -33,7 +33,10 @@
         const incarnation = newIncarnation();
         const timeline = new Timeline(hostId, incarnation);
         this.logger = new Logger(hostId, { level: settings.logLevel });
-        this.store = new HttpObjectStore(settings.store.url, { localAddress: settings.peers.address });
+        this.store = new HttpObjectStore(settings.store.url, {
+            localAddress: settings.peers.address,
+            token: settings.store.token,
+        });
         this.mesh = new WebSocketMesh({
             identity: { hostId, incarnation, availabilityZone, region },
             ...settings.peers,
--- a/platform-store/src/httpObjectStore.ts
+++ b/platform-store/src/httpObjectStore.ts
@@ -12,6 +12,8 @@
     readonly connections?: number;
     /** Own address that connections come from. */
     readonly localAddress?: string;
+    /** Proves to the store who calls; sent as a bearer token. */
+    readonly token?: string;
 }
 
 interface Answer {
@@ -36,12 +38,14 @@
     readonly calls: CallCount = { read: 0, write: 0, watch: 0 };
     private readonly pool: Pool;
     private readonly timeoutMs: number;
+    private readonly authorization: Record<string, string>;
 
     constructor(url: string, opts: HttpObjectStoreOptions = {}) {
         this.pool = new Pool(url, {
             connections: opts.connections ?? DEFAULT_CONNECTIONS,
             ...(opts.localAddress === undefined ? {} : { localAddress: opts.localAddress }),
         });
+        this.authorization = opts.token === undefined ? {} : { authorization: `Bearer ${opts.token}` };
         this.timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     }
 
@@ -129,6 +133,7 @@
         try {
             const { statusCode: status, headers, body } = await this.pool.request({
                 ...request,
+                headers: { ...this.authorization, ...request.headers as Record<string, string> | undefined },
                 signal: AbortSignal.timeout(timeoutMs),
                 headersTimeout: timeoutMs,
                 bodyTimeout: timeoutMs,
@@ -146,6 +151,9 @@
 }
 
 function rejected(status: number): Failure {
+    if (status === 401 || status === 403) {
+        return new Failure("storeDenied", `the store answered ${status}`);
+    }
     return status >= 500
         ? new Failure("storeUnreachable", `the store answered ${status}`)
         : new Failure("storeRejected", `the store answered ${status}`);
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,6 +5,8 @@
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 /** Tests start fleets of processes; more of them at once would measure the machine and not the program. */
 const CONCURRENCY = 3;
+/** A test file that hangs fails instead of blocking the run. */
+const TIMEOUT_MS = 240_000;
 
 function testFiles() {
     const packages = JSON.parse(readFileSync("package.json", "utf8")).workspaces;
@@ -23,7 +25,15 @@
 }
 
 function run(files) {
-    const args = ["--import", "tsx", "--test", `--test-concurrency=${CONCURRENCY}`, "--test-reporter=spec", ...files];
+    const args = [
+        "--import",
+        "tsx",
+        "--test",
+        `--test-concurrency=${CONCURRENCY}`,
+        "--test-reporter=spec",
+        `--test-timeout=${TIMEOUT_MS}`,
+        ...files,
+    ];
     return spawnSync(process.execPath, args, { stdio: "inherit" }).status ?? 1;
 }
 
--- a/testing/src/fleet.ts
+++ b/testing/src/fleet.ts
@@ -49,6 +49,8 @@
 const CALLERS_PORT = 7001;
 const ADMIN_PORT = 7002;
 const PEERS_PORT = 7003;
+const OPERATOR_TOKEN = "store-token-of-test-operators";
+const HOST_TOKEN = "store-token-of-test-hosts";
 const PEER_SECRET = "a-shared-secret-for-tests";
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 50;
@@ -104,9 +106,14 @@
         return this.operate("apply", "--inventory", inventoryFile, "--rules", rulesFile);
     }
 
+    /** Environment of an operator's commands. */
+    get operatorEnvironment(): Record<string, string> {
+        return { PISTACHIOREEL_STORE: this.storeUrl, PISTACHIOREEL_STORE_TOKEN: OPERATOR_TOKEN };
+    }
+
     /** Runs an operator's command against the store; rejects if it fails. */
     async operate(...args: string[]): Promise<string> {
-        return runProgram(BUNDLE, [...args, "--store", this.storeUrl]);
+        return runProgram(BUNDLE, [...args, "--store", this.storeUrl], this.operatorEnvironment);
     }
 
     /** Issues a key for a workspace. */
@@ -171,6 +178,7 @@
         writeFileSync(this.recordsFile, "");
         await this.opts.beforeStart?.(this);
         const storeArgs = ["store", "--address", this.storeAddress, "--port", String(STORE_PORT)];
+        storeArgs.push("--operator-token", OPERATOR_TOKEN, "--host-token", HOST_TOKEN);
         this.store = await this.startStandIn(storeArgs);
         await this.publishHosts();
         await Promise.all(this.opts.targets(this.network).map(target => this.startTarget(target)));
@@ -200,7 +208,7 @@
             callers: { address, port: CALLERS_PORT },
             admin: { address, port: ADMIN_PORT },
             peers: { address, port: PEERS_PORT, secrets: [PEER_SECRET] },
-            store: { url: this.storeUrl },
+            store: { url: this.storeUrl, token: HOST_TOKEN },
             drainTimeoutMs: 10_000,
             logLevel: "info",
         };
--- a/testing/src/partitionableFleet.ts
+++ b/testing/src/partitionableFleet.ts
@@ -58,7 +58,7 @@
             },
             settings: (own, index) => {
                 const url = `http://${inGroup(own.peers.address, PROXY_GROUP, STORE_PROXY_INDEX)}:${STORE_PORT}`;
-                const changed = { ...own, store: { url } };
+                const changed = { ...own, store: { ...own.store, url } };
                 return settings?.(changed, index) ?? changed;
             },
             listed: (host, index) => ({ ...host, peers: `${inGroup(host.peers, PROXY_GROUP, index)}:${PEERS_PORT}` }),
--- a/testing/src/standInMain.ts
+++ b/testing/src/standInMain.ts
@@ -9,15 +9,19 @@
         port: { type: "string", default: "0" },
         slots: { type: "string", default: "4" },
         records: { type: "string", default: "/dev/null" },
+        "operator-token": { type: "string" },
+        "host-token": { type: "string" },
         behaviour: { type: "string", default: "{}" },
     },
 });
 
-const { server } = positionals[0] === "store" ? new StoreStandIn() : new TargetStandIn({
-    id: `${values.address}:${values.port}`,
-    slots: Number(values.slots),
-    records: values.records,
-    behaviour: JSON.parse(values.behaviour) as object,
-});
+const { server } = positionals[0] === "store" ?
+    new StoreStandIn({ operator: values["operator-token"], host: values["host-token"] }) :
+    new TargetStandIn({
+        id: `${values.address}:${values.port}`,
+        slots: Number(values.slots),
+        records: values.records,
+        behaviour: JSON.parse(values.behaviour) as object,
+    });
 server.listen(Number(values.port), values.address, () => process.stdout.write("listening\n"));
 process.once("SIGTERM", () => process.exit(0));
--- a/testing/src/storeStandIn.ts
+++ b/testing/src/storeStandIn.ts
@@ -17,6 +17,15 @@
 
 type Waiter = () => void;
 
+/** Tokens that the store accepts; without them it accepts every call. */
+interface StoreTokens {
+    readonly operator?: string;
+    readonly host?: string;
+}
+
+/** Objects that hosts may write; operators may write all. */
+const HOST_PREFIXES = ["roster/", "once/"];
+
 /** Small stand-in for the platform's store and host list. */
 export class StoreStandIn {
     readonly server: Server;
@@ -27,7 +36,7 @@
     private fault: StoreFault = { mode: "none", delayMs: 0 };
     private hosts: unknown = [];
 
-    constructor() {
+    constructor(private readonly tokens: StoreTokens = {}) {
         this.server = createServer((request, response) => {
             this.handle(request, response).catch(() => response.destroy());
         });
@@ -42,7 +51,10 @@
         this.calls[request.method ?? ""] = (this.calls[request.method ?? ""] ?? 0) + 1;
         const { fault } = this;
         await sleep(fault.delayMs);
-        if (fault.mode === "down") {
+        if (!this.isAllowed(request, url)) {
+            answer(response, 403, "");
+        }
+        else if (fault.mode === "down") {
             request.socket.destroy();
         }
         else if (url.pathname === "/v1/watch") {
@@ -60,6 +72,16 @@
         }
     }
 
+    private isAllowed({ method, headers }: IncomingMessage, url: URL): boolean {
+        const { operator, host } = this.tokens;
+        const token = headers.authorization?.replace("Bearer ", "");
+        if (operator === undefined || token === operator) {
+            return true;
+        }
+        const name = decodeURIComponent(url.pathname.slice("/v1/objects/".length));
+        return token === host && (method === "GET" || HOST_PREFIXES.some(prefix => name.startsWith(prefix)));
+    }
+
     private async object(name: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = await readBody(request);
         const found = this.objects.get(name);
