--- a/delivery/src/attempt.ts
+++ b/delivery/src/attempt.ts
@@ -1,20 +1,29 @@
+import { createHash, type Hash } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
 import type { AttemptResult } from "./attemptResult.js";
 import { returnedHeaders } from "./forwardedHeaders.js";
+import type { TargetAnswer } from "./targetAnswer.js";
 
 interface AttemptOptions {
+    readonly requestId: string;
+    readonly method: string;
     readonly response: ServerResponse;
-    /** Headers that are added to the response. */
-    readonly addedHeaders: readonly string[];
+    /** Continues without the caller, and computes the digest of the response. */
+    readonly isDetached: boolean;
+    /** Asked at the moment in which the head would be written; false leaves the request unsent. */
+    readonly maySend: () => boolean;
+    /** Called when the head is written, and on each sign of life of the target. */
+    readonly onProgress: () => void;
     readonly onEnd: (result: AttemptResult) => void;
 }
 
 /** Responses up to this size are held until they are complete, so that a broken one can be retried. */
 const HELD_RESPONSE_BYTES = 64 * 1024;
 const NOT_RUN_HEADER = "x-not-run";
+const REQUEST_ID_HEADER = "x-request-id";
 
-type ResponseHead = { readonly status: number; readonly headers: string[]; };
+type ResponseHead = Pick<TargetAnswer, "status" | "headers">;
 
 /** Runs one request on one target and passes the response on to the caller. */
 export class Attempt implements Dispatcher.DispatchHandler {
@@ -22,52 +31,68 @@
     private ended = false;
     private streaming = false;
     private refused = false;
-    private head: ResponseHead | undefined;
+    private unframed = false;
+    private head: ResponseHead = { status: 502, headers: [] };
     private held: Buffer[] = [];
     private heldBytes = 0;
     private controller: Dispatcher.DispatchController | undefined;
-    private abortCause: Error | undefined;
+    private stoppedBy: AttemptResult["stoppedBy"];
+    private readonly digest: Hash | undefined;
 
-    constructor(private readonly opts: AttemptOptions) {}
+    constructor(private readonly opts: AttemptOptions) {
+        this.digest = opts.isDetached ? createHash("sha256") : undefined;
+    }
 
     /** Stops the attempt and closes its connection, which cancels the work on the target. */
-    abort(cause: Error): void {
-        this.abortCause = cause;
-        this.controller?.abort(cause);
+    stop(reason: NonNullable<AttemptResult["stoppedBy"]>): void {
+        this.stoppedBy ??= reason;
+        this.controller?.abort(new Error(reason));
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
-        if (this.abortCause !== undefined) {
-            controller.abort(this.abortCause);
+        if (this.stoppedBy === undefined && !this.opts.maySend()) {
+            this.stoppedBy = "deadline";
+        }
+        if (this.stoppedBy !== undefined) {
+            controller.abort(new Error(this.stoppedBy));
             return;
         }
         this.controller = controller;
         this.sent = true;
+        this.opts.onProgress();
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
         if (status < 200) {
             return;
         }
+        this.opts.onProgress();
         const raw = (controller.rawHeaders as Buffer[] | undefined)?.map(String) ?? [];
-        this.head = { status, headers: [...returnedHeaders(raw), ...this.opts.addedHeaders] };
-        this.refused = status === 503 && raw.some((name, i) => i % 2 === 0 && name.toLowerCase() === NOT_RUN_HEADER);
+        this.head = { status, headers: returnedHeaders(raw) };
+        this.refused = status === 503 && valueOf(raw, NOT_RUN_HEADER) !== undefined;
+        const answeredId = valueOf(raw, REQUEST_ID_HEADER);
+        if (answeredId !== undefined && answeredId !== this.opts.requestId) {
+            controller.abort(new Error("the response belongs to another request"));
+        }
+        else if (!this.isFramed(raw)) {
+            this.unframed = true;
+            controller.abort(new Error("the response has no length"));
+        }
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
         if (this.refused) {
             return;
         }
+        this.opts.onProgress();
+        this.digest?.update(chunk);
         if (!this.streaming && this.heldBytes + chunk.length <= HELD_RESPONSE_BYTES) {
             this.held.push(chunk);
             this.heldBytes += chunk.length;
             return;
         }
         this.startStreaming();
-        if (!this.opts.response.write(chunk)) {
-            controller.pause();
-            this.opts.response.once("drain", () => controller.resume());
-        }
+        this.passOn(controller, chunk);
     }
 
     onResponseEnd(): void {
@@ -76,26 +101,28 @@
             return;
         }
         const { response } = this.opts;
-        if (this.streaming) {
-            response.end();
-        }
-        else {
-            this.writeHead(this.heldBytes);
-            response.end(this.held.length === 1 ? this.held[0] : Buffer.concat(this.held));
+        const body = this.streaming ? undefined : this.held.length === 1 ? this.held[0] : Buffer.concat(this.held);
+        if (!response.destroyed) {
+            if (body !== undefined) {
+                this.writeHead(body.length);
+            }
+            response.end(body);
         }
-        this.end({ end: "complete", status: this.head?.status });
+        this.end({ end: "complete", answer: { ...this.head, body, digest: this.digest?.digest("hex") } });
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, cause: Error): void {
+        const { stoppedBy } = this;
         if (!this.sent) {
-            this.end({ end: "unsent", cause });
+            this.end({ end: stoppedBy === "disconnect" ? "cancelled" : "unsent", cause, stoppedBy });
             return;
         }
         // Destroying the connection shows the caller that the response is not whole.
         if (this.streaming) {
             this.opts.response.destroy();
         }
-        this.end({ end: this.streaming ? "cut" : "broken", cause });
+        const isCut = this.streaming || this.unframed;
+        this.end({ end: stoppedBy === "disconnect" ? "cancelled" : isCut ? "cut" : "broken", cause, stoppedBy });
     }
 
     private startStreaming(): void {
@@ -103,16 +130,42 @@
             return;
         }
         this.streaming = true;
-        this.writeHead(undefined);
-        this.held.forEach(chunk => this.opts.response.write(chunk));
+        if (!this.opts.response.destroyed) {
+            this.writeHead(undefined);
+            this.held.forEach(chunk => this.opts.response.write(chunk));
+        }
         this.held = [];
     }
 
+    private passOn(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        const { response } = this.opts;
+        if (response.destroyed || response.write(chunk)) {
+            return;
+        }
+        controller.pause();
+        const resume = () => {
+            response.off("drain", resume).off("close", resume);
+            controller.resume();
+        };
+        response.once("drain", resume).once("close", resume);
+    }
+
     private writeHead(length: number | undefined): void {
-        const { status, headers } = this.head ?? { status: 502, headers: [] };
-        const hasLength = headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
-        const lengthHeader = length === undefined || hasLength ? [] : ["content-length", String(length)];
-        this.opts.response.writeHead(status, [...headers, ...lengthHeader]);
+        const { status, headers } = this.head;
+        const needsLength = length !== undefined && this.hasBody(status) &&
+            valueOf(headers, "content-length") === undefined;
+        const lengthHeader = needsLength ? ["content-length", String(length)] : [];
+        this.opts.response.writeHead(status, [...headers, REQUEST_ID_HEADER, this.opts.requestId, ...lengthHeader]);
+    }
+
+    /** A response that ends with its connection cannot be told from one whose target died. */
+    private isFramed(raw: readonly string[]): boolean {
+        return !this.hasBody(this.head.status) || valueOf(raw, "content-length") !== undefined ||
+            valueOf(raw, "transfer-encoding") !== undefined;
+    }
+
+    private hasBody(status: number): boolean {
+        return this.opts.method !== "HEAD" && status !== 204 && status !== 304;
     }
 
     private end(result: AttemptResult): void {
@@ -122,3 +175,8 @@
         }
     }
 }
+
+function valueOf(raw: readonly string[], name: string): string | undefined {
+    const index = raw.findIndex((header, i) => i % 2 === 0 && header.toLowerCase() === name);
+    return index < 0 ? undefined : raw[index + 1];
+}
--- /dev/null
+++ b/delivery/src/attemptSequence.ts
@@ -0,0 +1,196 @@
+import { Failure } from "@pistachioreel/result-code";
+import type { TargetQueue } from "@pistachioreel/steering";
+import { err, ok, type Result } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Dispatcher } from "undici";
+import { Attempt } from "./attempt.js";
+import type { AttemptResult } from "./attemptResult.js";
+import type { DeliveryObserver } from "./deliveryObserver.js";
+import type { DeliveryReport } from "./deliveryReport.js";
+import type { DeliveryRequest } from "./deliveryRequest.js";
+import { forwardedHeaders } from "./forwardedHeaders.js";
+import type { RequestBody } from "./requestBody.js";
+import type { RetryBudget } from "./retryBudget.js";
+import type { TargetPools } from "./targetPools.js";
+
+interface DeliveryTarget {
+    readonly id: string;
+    readonly connections: number;
+}
+
+interface AttemptSequenceOptions {
+    readonly pools: TargetPools;
+    readonly queue: TargetQueue<DeliveryTarget>;
+    readonly retries: RetryBudget;
+    readonly observe: DeliveryObserver;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+const MAX_ATTEMPTS = 3;
+const RETRY_JITTER_MS = 20;
+
+/** Tries targets one after the other until one of them ends the request. */
+export class AttemptSequence {
+    constructor(private readonly opts: AttemptSequenceOptions) {}
+
+    /** Runs the request. A failure that is "not run" means that no attempt can have run it. */
+    async run(request: DeliveryRequest, body: RequestBody | undefined): Promise<Result<DeliveryReport, Failure>> {
+        const excluded = new Set<string>();
+        const { service, workspace, priority, deadlineAt } = request;
+        const signal = disconnectSignal(request);
+        let mayHaveRun = false;
+        this.opts.retries.countFirst();
+        for (let attempts = 1;; attempts++) {
+            const wanted = { service, workspace, priority, deadlineAt, excluded, signal };
+            let grant = await this.opts.queue.acquire(wanted);
+            if (grant.isErr() && grant.error.code === "noTarget" && excluded.size > 0) {
+                // All targets were tried once; one that shed may have a free slot by now.
+                excluded.clear();
+                grant = await this.opts.queue.acquire(wanted);
+            }
+            if (grant.isErr()) {
+                return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: grant.error }) : grant.error);
+            }
+            const { target, release } = grant.value;
+            excluded.add(target.id);
+            const startedAt = this.opts.now();
+            const result = await this.attempt(request, body, target);
+            release({ end: result.end, latencyMs: this.opts.now() - startedAt });
+            this.noteEnd(request, target, result);
+            if (result.answer !== undefined) {
+                return ok({ target: target.id, attempts, answer: result.answer });
+            }
+            mayHaveRun ||= result.end !== "unsent" && result.end !== "refused";
+            if (attempts >= MAX_ATTEMPTS || !this.mayRetry(request, body, result)) {
+                return err(failureOf(result, mayHaveRun));
+            }
+            await this.waitBeforeRetry(request, result, attempts);
+        }
+    }
+
+    private attempt(
+        request: DeliveryRequest,
+        body: RequestBody | undefined,
+        target: DeliveryTarget,
+    ): Promise<AttemptResult> {
+        const { now } = this.opts;
+        const { deadlineAt, attemptTimeoutMs, response } = request;
+        return new Promise(resolve => {
+            const onDeadline = () => attempt.stop("deadline");
+            const onSilence = () => response.writableNeedDrain ? silence.refresh() : attempt.stop("attempt-timeout");
+            const onClose = () => response.writableFinished || attempt.stop("disconnect");
+            const deadline = setTimeout(onDeadline, Math.max(0, deadlineAt - now()));
+            const silence = setTimeout(onSilence, attemptTimeoutMs);
+            const stopCounting = body === undefined || body.isWhole
+                ? undefined
+                : countBody(request, () => silence.refresh(), () => attempt.stop("body"));
+            const attempt = new Attempt({
+                requestId: request.id,
+                method: request.request.method ?? "GET",
+                response,
+                isDetached: !request.isIdempotent,
+                maySend: () => now() < deadlineAt,
+                onProgress: () => silence.refresh(),
+                onEnd: result => {
+                    clearTimeout(deadline);
+                    clearTimeout(silence);
+                    stopCounting?.();
+                    response.off("close", onClose);
+                    resolve(result);
+                },
+            });
+            if (request.isIdempotent) {
+                response.once("close", onClose);
+            }
+            this.opts.pools.poolOf(target).dispatch(dispatchOptions(request, body, deadlineAt - now()), attempt);
+        });
+    }
+
+    private noteEnd({ id }: DeliveryRequest, target: DeliveryTarget, result: AttemptResult): void {
+        const timedOut = result.stoppedBy === "attempt-timeout";
+        if (this.opts.pools.noteAttempt(target.id, timedOut)) {
+            this.opts.observe("connections-dropped", { request: id, fields: { target: target.id } });
+        }
+        if (result.end !== "complete") {
+            const fields = { target: target.id, end: result.end, reason: result.stoppedBy ?? "connection" };
+            this.opts.observe("attempt-failed", { request: id, fields });
+        }
+    }
+
+    private mayRetry(request: DeliveryRequest, body: RequestBody | undefined, result: AttemptResult): boolean {
+        const canRepeat = result.end === "unsent" || result.end === "refused" ||
+            result.end === "broken" && request.isIdempotent;
+        const isBodyThere = body === undefined || body.isWhole || result.end === "unsent";
+        if (!canRepeat || !isBodyThere || this.opts.now() >= request.deadlineAt) {
+            return false;
+        }
+        // A refused connection costs a target nothing, so it needs no budget.
+        if (result.end === "unsent" || this.opts.retries.tryTake()) {
+            return true;
+        }
+        this.opts.observe("retry-budget-spent", { request: request.id });
+        return false;
+    }
+
+    private async waitBeforeRetry(request: DeliveryRequest, { end }: AttemptResult, attempts: number): Promise<void> {
+        this.opts.observe("retry", { request: request.id, fields: { end, attempts } });
+        if (end !== "unsent") {
+            const jitterMs = Math.random() * RETRY_JITTER_MS * 2 ** (attempts - 1);
+            await sleep(Math.min(jitterMs, Math.max(0, request.deadlineAt - this.opts.now())));
+        }
+    }
+}
+
+/** Aborts when the caller of idempotent work disconnects; other work goes on without its caller. */
+function disconnectSignal({ response, isIdempotent }: DeliveryRequest): AbortSignal {
+    const disconnected = new AbortController();
+    if (isIdempotent) {
+        response.once("close", () => disconnected.abort());
+    }
+    return disconnected.signal;
+}
+
+/** Watches a body that streams to the target. Returns the function that ends it. */
+function countBody({ request, maxBodyBytes }: DeliveryRequest, onChunk: () => void, onTooLarge: () => void) {
+    let bytes = 0;
+    const count = (chunk: Buffer) => {
+        bytes += chunk.length;
+        onChunk();
+        if (bytes > maxBodyBytes) {
+            onTooLarge();
+        }
+    };
+    // Without the pause, the listener would start the flow before the target's connection takes the body.
+    request.on("data", count).pause();
+    return () => request.off("data", count);
+}
+
+function dispatchOptions(
+    request: DeliveryRequest,
+    body: RequestBody | undefined,
+    timeLeftMs: number,
+): Dispatcher.DispatchOptions {
+    const { method = "GET", url: path = "/", rawHeaders } = request.request;
+    const headers = forwardedHeaders(rawHeaders, request.key);
+    headers.push("x-request-id", request.id, "x-deadline-ms", String(Math.max(1, Math.floor(timeLeftMs))));
+    if (request.workspace !== undefined) {
+        headers.push("x-workspace", request.workspace);
+    }
+    const sentBody = body === undefined ? undefined : body.isWhole ? body.head : request.request;
+    return { method: method as Dispatcher.HttpMethod, path, headers, body: sentBody };
+}
+
+/** A refusal says "not run" only if no earlier attempt can have run the request. */
+function failureOf({ end, cause, stoppedBy }: AttemptResult, mayHaveRun: boolean): Failure {
+    if (end === "cut") {
+        return new Failure("answerBroken", undefined, { cause });
+    }
+    if (mayHaveRun) {
+        return new Failure(stoppedBy === "deadline" ? "deadlineExceeded" : "outcomeUnknown", undefined, { cause });
+    }
+    if (end === "refused") {
+        return new Failure("targetRefused");
+    }
+    return new Failure(stoppedBy === "deadline" ? "deadlineInQueue" : "noTarget", undefined, { cause });
+}
--- /dev/null
+++ b/delivery/src/claimSweep.ts
@@ -0,0 +1,104 @@
+import type { ObjectStore } from "@pistachioreel/platform-store";
+import { createHash } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { DeliveryObserver } from "./deliveryObserver.js";
+import { parseOnceRecord } from "./parseOnceRecord.js";
+
+interface ClaimSweepOptions {
+    readonly store: ObjectStore;
+    /** Workspaces whose claims are swept. */
+    readonly workspaces: () => readonly string[];
+    /** Position of this host among all hosts and their number; each host sweeps its share of the names. */
+    readonly share: () => { readonly index: number; readonly count: number; };
+    readonly observe: DeliveryObserver;
+    /** Age from which on a claim is deleted, in ms. */
+    readonly keepMs?: number;
+    /** Store calls a second of all hosts together. */
+    readonly callsPerSecond?: number;
+}
+
+const MS_PER_HOUR = 3_600_000;
+/** One hour more than promised, for wall clocks that differ. */
+const DEFAULT_KEEP_MS = 25 * MS_PER_HOUR;
+/** Reads and deletes the claims of a day at the write budget, 150 a second, within a day. */
+const DEFAULT_CALLS_PER_SECOND = 300;
+const PASS_INTERVAL_MS = MS_PER_HOUR;
+/** Prefixes get one more character while a list has more names than this. */
+const MAX_NAMES_PER_LIST = 500;
+const MAX_PREFIX_LENGTH = 4;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Deletes claims that are older than a day. It lists one short prefix of names after the other, so that no answer grows
+ * with the number of all claims, and makes a bounded number of store calls a second.
+ */
+export class ClaimSweep {
+    private prefixLength = 1;
+
+    constructor(private readonly opts: ClaimSweepOptions) {}
+
+    /** Runs until the signal aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await sleep(PASS_INTERVAL_MS, undefined, { signal, ref: false }).catch(() => undefined);
+            await this.sweepOnce(signal);
+        }
+    }
+
+    /** Goes through this host's share of all names once. */
+    async sweepOnce(signal: AbortSignal): Promise<void> {
+        let largestList = 0;
+        for (let index = 0; index < 16 ** this.prefixLength && !signal.aborted; index++) {
+            const prefix = index.toString(16).padStart(this.prefixLength, "0");
+            if (this.isOwn(prefix)) {
+                largestList = Math.max(largestList, await this.sweepPrefix(prefix, signal));
+            }
+        }
+        if (largestList > MAX_NAMES_PER_LIST && this.prefixLength < MAX_PREFIX_LENGTH) {
+            this.prefixLength++;
+        }
+    }
+
+    /** Returns the length of the longest list. */
+    private async sweepPrefix(prefix: string, signal: AbortSignal): Promise<number> {
+        let largestList = 0;
+        for (const workspace of this.opts.workspaces()) {
+            const names = (await this.opts.store.list(`once/${workspace}/${prefix}`)).unwrapOr([]);
+            largestList = Math.max(largestList, names.length);
+            await this.pause(signal);
+            for (const name of names) {
+                await this.sweepObject(name, signal);
+            }
+        }
+        return largestList;
+    }
+
+    private async sweepObject(name: string, signal: AbortSignal): Promise<void> {
+        if (signal.aborted) {
+            return;
+        }
+        const found = await this.opts.store.get(name);
+        await this.pause(signal);
+        if (found.isErr() || found.value === undefined) {
+            return;
+        }
+        const record = parseOnceRecord(found.value.value);
+        const keepMs = this.opts.keepMs ?? DEFAULT_KEEP_MS;
+        if (record.isOk() && Date.now() - record.value.claimedAt > keepMs) {
+            const deleted = await this.opts.store.delete(name, found.value.version);
+            this.opts.observe(deleted.isOk() ? "claim-deleted" : "claim-delete-failed");
+            await this.pause(signal);
+        }
+    }
+
+    private isOwn(prefix: string): boolean {
+        const { index, count } = this.opts.share();
+        return createHash("sha256").update(prefix).digest().readUInt32BE() % Math.max(1, count) === index;
+    }
+
+    private async pause(signal: AbortSignal): Promise<void> {
+        const { share, callsPerSecond = DEFAULT_CALLS_PER_SECOND } = this.opts;
+        const pauseMs = MS_PER_SECOND * share().count / callsPerSecond;
+        await sleep(pauseMs, undefined, { signal }).catch(() => undefined);
+    }
+}
--- a/delivery/src/delivery.ts
+++ b/delivery/src/delivery.ts
@@ -1,11 +1,15 @@
-import { Failure } from "@pistachioreel/result-code";
+import type { ObjectStore } from "@pistachioreel/platform-store";
+import type { Failure } from "@pistachioreel/result-code";
 import type { TargetQueue } from "@pistachioreel/steering";
-import { err, ok, type Result } from "neverthrow";
-import type { Dispatcher } from "undici";
-import { Attempt } from "./attempt.js";
-import type { AttemptResult } from "./attemptResult.js";
+import { err, type Result } from "neverthrow";
+import { AttemptSequence } from "./attemptSequence.js";
+import type { DeliveryObserver } from "./deliveryObserver.js";
+import type { DeliveryReport } from "./deliveryReport.js";
 import type { DeliveryRequest } from "./deliveryRequest.js";
-import { forwardedHeaders } from "./forwardedHeaders.js";
+import { OnceDelivery } from "./onceDelivery.js";
+import { readRequestBody } from "./readRequestBody.js";
+import type { RequestBody } from "./requestBody.js";
+import { RetryBudget } from "./retryBudget.js";
 import type { TargetPools } from "./targetPools.js";
 
 interface DeliveryTarget {
@@ -16,111 +20,61 @@
 interface DeliveryOptions {
     readonly pools: TargetPools;
     readonly queue: TargetQueue<DeliveryTarget>;
+    readonly store: ObjectStore;
+    readonly hostId: string;
+    /** Hosts that share the store's write budget. */
+    readonly hostCount: () => number;
+    readonly observe?: DeliveryObserver;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
 
-interface DeliveryReport {
-    readonly target: string;
-    readonly status: number | undefined;
-    readonly attempts: number;
-}
-
-const MAX_ATTEMPTS = 3;
+/** Time for the first 64 KiB of a body, in ms. */
+const BODY_HEAD_TIMEOUT_MS = 5_000;
 
 /** Takes one request from its caller to a target and the response back. */
 export class Delivery {
-    constructor(private readonly opts: DeliveryOptions) {}
+    private readonly attempts: AttemptSequence;
+    private readonly once: OnceDelivery;
+    private readonly running = new Set<Promise<unknown>>();
+
+    constructor(private readonly opts: DeliveryOptions) {
+        const { pools, queue, now, observe = () => undefined } = opts;
+        this.attempts = new AttemptSequence({ pools, queue, now, observe, retries: new RetryBudget({ now }) });
+        this.once = new OnceDelivery({ ...opts, observe, attempts: this.attempts });
+    }
 
     /**
-     * Delivers the request. On success the caller has the whole response. A failure must be sent to the caller unless
-     * the response has begun (`response.headersSent`).
+     * Delivers the request. On success the caller has the whole response, unless it has disconnected. A failure must be
+     * sent to the caller unless the response has begun (`response.headersSent`).
      */
     async deliver(request: DeliveryRequest): Promise<Result<DeliveryReport, Failure>> {
-        const excluded = new Set<string>();
-        const { service, workspace, priority, deadlineAt } = request;
-        const signal = disconnectSignal(request);
-        let mayHaveRun = false;
-        for (let attempts = 1;; attempts++) {
-            const grant = await this.opts.queue.acquire({ service, workspace, priority, deadlineAt, excluded, signal });
-            if (grant.isErr()) {
-                return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: grant.error }) : grant.error);
-            }
-            const { target, release } = grant.value;
-            excluded.add(target.id);
-            const startedAt = this.opts.now();
-            const result = await this.run(request, target);
-            release({ end: result.end, latencyMs: this.opts.now() - startedAt });
-            if (result.end === "complete") {
-                return ok({ target: target.id, status: result.status, attempts });
-            }
-            mayHaveRun ||= result.end !== "unsent" && result.end !== "refused";
-            if (attempts >= MAX_ATTEMPTS || !isRetryable(request, result)) {
-                return err(failureOf(result, mayHaveRun));
-            }
+        const { maxBodyBytes, deadlineAt } = request;
+        const timeoutMs = Math.min(BODY_HEAD_TIMEOUT_MS, Math.max(0, deadlineAt - this.opts.now()));
+        const body = await readRequestBody(request.request, { maxBodyBytes, timeoutMs });
+        if (body.isErr()) {
+            return err(body.error);
         }
+        return request.isIdempotent ? this.attempts.run(request, body.value) : this.deliverOnce(request, body.value);
     }
 
-    private run(request: DeliveryRequest, target: DeliveryTarget): Promise<AttemptResult> {
-        const timeLeftMs = Math.max(1, Math.floor(request.deadlineAt - this.opts.now()));
-        return new Promise(resolve => {
-            const onEnd = (result: AttemptResult) => {
-                clearTimeout(timer);
-                request.response.off("close", onClose);
-                resolve(result);
-            };
-            const attempt = new Attempt({
-                response: request.response,
-                addedHeaders: ["x-request-id", request.id],
-                onEnd,
-            });
-            const timer = setTimeout(() => attempt.abort(new Error("deadline exceeded")), timeLeftMs);
-            const onClose = () => {
-                if (!request.response.writableFinished) {
-                    attempt.abort(new Error("caller disconnected"));
-                }
-            };
-            request.response.once("close", onClose);
-            this.opts.pools.poolOf(target).dispatch(dispatchOptions(request, timeLeftMs), attempt);
-        });
+    /** Resolves when work that goes on without its caller has ended and the store has its outcome. */
+    async idle(): Promise<void> {
+        await Promise.all(this.running);
+        await this.once.idle();
     }
-}
-
-function disconnectSignal({ response }: DeliveryRequest): AbortSignal {
-    const disconnected = new AbortController();
-    response.once("close", () => disconnected.abort());
-    return disconnected.signal;
-}
 
-function dispatchOptions(request: DeliveryRequest, timeLeftMs: number): Dispatcher.DispatchOptions {
-    const { method = "GET", url: path = "/", rawHeaders } = request.request;
-    const hasBody = "content-length" in request.request.headers || "transfer-encoding" in request.request.headers;
-    const headers = forwardedHeaders(rawHeaders, request.key);
-    headers.push("x-request-id", request.id, "x-deadline-ms", String(timeLeftMs));
-    if (request.workspace !== undefined) {
-        headers.push("x-workspace", request.workspace);
-    }
-    return { method: method as Dispatcher.HttpMethod, path, headers, body: hasBody ? request.request : undefined };
-}
-
-function isRetryable(request: DeliveryRequest, result: AttemptResult): boolean {
-    const bodyUntouched = !request.request.readableDidRead;
-    if (result.end === "unsent" || result.end === "refused") {
-        return bodyUntouched;
-    }
-    return result.end === "broken" && request.isIdempotent && bodyUntouched;
-}
-
-/** A refusal says "not run" only if no earlier attempt can have run the request. */
-function failureOf(result: AttemptResult, mayHaveRun: boolean): Failure {
-    switch (result.end) {
-        case "cut":
-            return new Failure("answerBroken", undefined, { cause: result.cause });
-        case "unsent":
-            return new Failure(mayHaveRun ? "outcomeUnknown" : "noTarget", undefined, { cause: result.cause });
-        case "refused":
-            return new Failure(mayHaveRun ? "outcomeUnknown" : "targetRefused");
-        default:
-            return new Failure("outcomeUnknown", undefined, { cause: result.cause });
+    private async deliverOnce(
+        request: DeliveryRequest,
+        body: RequestBody | undefined,
+    ): Promise<Result<DeliveryReport, Failure>> {
+        const work = this.once.deliver(request, body);
+        this.running.add(work);
+        try {
+            return await work;
+        }
+        finally {
+            this.running.delete(work);
+        }
     }
 }
--- a/delivery/src/deliveryRequest.ts
+++ b/delivery/src/deliveryRequest.ts
@@ -7,11 +7,17 @@
     /** Absent on open routes. */
     readonly workspace: string | undefined;
     readonly service: string;
+    /** Path of the route in the rules. */
+    readonly routePath: string;
     readonly priority: "urgent" | "normal" | "deferrable";
     readonly isIdempotent: boolean;
+    /** `Idempotency-Key` of the caller; required unless the request is idempotent. */
+    readonly idempotencyKey: string | undefined;
+    /** Size that the route accepts, in bytes. */
+    readonly maxBodyBytes: number;
     /** Monotonic time in ms at which the caller gives up. */
     readonly deadlineAt: number;
-    /** Time that one target may take until the head of its response, in ms. */
+    /** Time that a target may stay without a sign of life, in ms. */
     readonly attemptTimeoutMs: number;
     /** The caller's key; removed from everything that goes to a target. */
     readonly key: string | undefined;
--- a/delivery/src/forwardedHeaders.ts
+++ b/delivery/src/forwardedHeaders.ts
@@ -20,6 +20,9 @@
     "x-workspace",
 ]);
 
+/** Headers by which pistachioreel itself speaks to callers; a target's own must not be taken for them. */
+const REMOVED_FROM_RESPONSES = new Set([...HOP_BY_HOP, "x-not-run", "x-request-id", "x-result-code"]);
+
 /** Alternating names and values, as in `IncomingMessage.rawHeaders`. */
 type RawHeaders = readonly string[];
 
@@ -31,9 +34,9 @@
     return filterHeaders(raw, REMOVED_FROM_REQUESTS, value => key === undefined || !value.includes(key));
 }
 
-/** Headers of a response for the caller, without those that only matter between two hops. */
+/** Headers of a response for the caller, without those that only matter between two hops or are set by pistachioreel. */
 export function returnedHeaders(raw: RawHeaders): string[] {
-    return filterHeaders(raw, HOP_BY_HOP, () => true);
+    return filterHeaders(raw, REMOVED_FROM_RESPONSES, () => true);
 }
 
 function filterHeaders(raw: RawHeaders, removed: ReadonlySet<string>, accepts: (value: string) => boolean): string[] {
--- a/delivery/src/index.ts
+++ b/delivery/src/index.ts
@@ -1,3 +1,8 @@
+export { ClaimSweep } from "./claimSweep.js";
 export { Delivery } from "./delivery.js";
+export type { DeliveryObserver } from "./deliveryObserver.js";
 export type { DeliveryRequest } from "./deliveryRequest.js";
+export { OnceClaim } from "./onceClaim.js";
+export { OPEN_WORKSPACE } from "./openWorkspace.js";
+export { RetryBudget } from "./retryBudget.js";
 export { TargetPools } from "./targetPools.js";
--- /dev/null
+++ b/delivery/src/onceClaim.ts
@@ -0,0 +1,188 @@
+import type { ObjectStore, WriteCondition } from "@pistachioreel/platform-store";
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { OnceRecord } from "./onceRecord.js";
+import { parseOnceRecord } from "./parseOnceRecord.js";
+
+interface OnceClaimOptions {
+    readonly store: ObjectStore;
+    readonly hostId: string;
+    /** Name of the object. */
+    readonly name: string;
+    /** Digest of the request; a repeat must have the same. */
+    readonly fingerprint: string;
+    /** Monotonic time in ms after which the claim is not worth having. */
+    readonly deadlineAt: number;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+/** `held`: this process may dispatch the request, once. `done`: the request has run before. */
+type Acquired = { readonly kind: "held"; } | { readonly kind: "done"; readonly record: OnceRecord; };
+type Outcome = Pick<OnceRecord, "state" | "response">;
+type Step = { readonly next: WriteCondition; } | { readonly end: Result<Acquired, Failure>; } | "wait" | "again";
+
+const MAX_STORE_FAILURES = 3;
+const STORE_RETRY_MS = 100;
+const MIN_WAIT_MS = 100;
+const MAX_WAIT_MS = 1_000;
+
+/** The right to run the request of one idempotency key, held in the store. There is no takeover of a claim. */
+export class OnceClaim {
+    /** Whether a write of this claim got no reply and may still take effect. */
+    isUnsettled = false;
+    private readonly nonce = randomUUID();
+    private readonly claimedAt = Date.now();
+    private version = "";
+    private storeFailures = 0;
+    private isHeldByOther = false;
+
+    constructor(private readonly opts: OnceClaimOptions) {}
+
+    get name(): string {
+        return this.opts.name;
+    }
+
+    /**
+     * Claims, or waits for the outcome of the request that holds the claim.
+     *
+     * Failures: `claimUnavailable` and `idempotencyKeyReused` (not run), `outcomeUnknown`.
+     */
+    async acquire(): Promise<Result<Acquired, Failure>> {
+        let condition: WriteCondition | undefined = { absent: true };
+        let waitMs = MIN_WAIT_MS;
+        while (this.storeFailures < MAX_STORE_FAILURES && this.timeLeftMs > 0) {
+            const step: Step = condition === undefined ? await this.read() : await this.write(condition);
+            if (step === "again") {
+                this.storeFailures++;
+                await this.pause(Math.random() * STORE_RETRY_MS * 2 ** this.storeFailures);
+            }
+            else if (step === "wait") {
+                condition = undefined;
+                await this.pause(waitMs * (0.5 + Math.random() / 2));
+                waitMs = Math.min(MAX_WAIT_MS, 2 * waitMs);
+            }
+            else if ("end" in step) {
+                return step.end;
+            }
+            else {
+                condition = step.next;
+            }
+        }
+        return err(this.unavailable);
+    }
+
+    /** Why the claim cannot be had, if `acquire` is not waited for any longer. */
+    get unavailable(): Failure {
+        return new Failure(this.isHeldByOther ? "outcomeUnknown" : "claimUnavailable");
+    }
+
+    /** Records the outcome of a held claim. Failure: `storeUnreachable`, after which it can be called again. */
+    async record(outcome: Outcome): Promise<Result<void, Failure>> {
+        const written = await this.put({ ...this.recordOf("claimed"), ...outcome }, { version: this.version });
+        if (written.isOk()) {
+            return ok(undefined);
+        }
+        const found = await this.find();
+        return found.map(current => {
+            const isOwn = current?.record.nonce === this.nonce;
+            if (isOwn && current.record.state === "claimed") {
+                this.version = current.version;
+            }
+            return isOwn && current.record.state === "claimed";
+        }).andThen(isOpen => isOpen ? err(new Failure("storeUnreachable")) : ok(undefined));
+    }
+
+    /**
+     * Makes sure that an unsettled claim of a request that was refused ends as `not_run`: a write that is still on its
+     * way to the store then finds its condition broken. Failure: `storeUnreachable`, after which it can be called again.
+     */
+    async repair(): Promise<Result<void, Failure>> {
+        const found = await this.find();
+        if (found.isErr()) {
+            return err(found.error);
+        }
+        const current = found.value;
+        if (current === undefined) {
+            return this.settle(this.recordOf("not_run"), { absent: true });
+        }
+        const { record, version } = current;
+        if (record.nonce === this.nonce && record.state === "claimed") {
+            return this.settle({ ...record, state: "not_run" }, { version });
+        }
+        return record.state === "not_run" ? this.settle(record, { version }) : ok(undefined);
+    }
+
+    private get timeLeftMs(): number {
+        return this.opts.deadlineAt - this.opts.now();
+    }
+
+    private async write(condition: WriteCondition): Promise<Step> {
+        const written = await this.put(this.recordOf("claimed"), condition);
+        if (written.isOk()) {
+            this.version = written.value;
+            return { end: ok({ kind: "held" }) };
+        }
+        if (written.error.code === "storeConflict") {
+            this.isHeldByOther = true;
+        }
+        else {
+            this.isUnsettled = true;
+            this.storeFailures++;
+        }
+        return this.read();
+    }
+
+    private async read(): Promise<Step> {
+        const found = await this.find();
+        if (found.isErr()) {
+            return "again";
+        }
+        if (found.value === undefined) {
+            this.isHeldByOther = false;
+            return { next: { absent: true } };
+        }
+        const { record, version } = found.value;
+        this.isHeldByOther = record.nonce !== this.nonce && record.state !== "not_run";
+        if (record.nonce === this.nonce && record.state === "claimed") {
+            this.version = version;
+            return { end: ok({ kind: "held" }) };
+        }
+        if (record.fingerprint !== this.opts.fingerprint) {
+            return { end: err(new Failure("idempotencyKeyReused")) };
+        }
+        if (record.state === "done") {
+            return { end: ok({ kind: "done", record }) };
+        }
+        return record.state === "not_run" ? { next: { version } } : "wait";
+    }
+
+    private async find(): Promise<Result<{ record: OnceRecord; version: string; } | undefined, Failure>> {
+        const found = await this.opts.store.get(this.opts.name);
+        return found.andThen(object =>
+            object === undefined
+                ? ok(undefined)
+                : parseOnceRecord(object.value).map(record => ({ record, version: object.version }))
+        );
+    }
+
+    private put(record: OnceRecord, condition: WriteCondition): Promise<Result<string, Failure>> {
+        return this.opts.store.put(this.opts.name, JSON.stringify(record), condition);
+    }
+
+    private async settle(record: OnceRecord, condition: WriteCondition): Promise<Result<void, Failure>> {
+        const written = await this.put(record, condition);
+        return written.map(() => undefined);
+    }
+
+    private recordOf(state: OnceRecord["state"]): OnceRecord {
+        const { hostId: host, fingerprint } = this.opts;
+        return { nonce: this.nonce, host, fingerprint, state, claimedAt: this.claimedAt };
+    }
+
+    private async pause(ms: number): Promise<void> {
+        await sleep(Math.max(0, Math.min(ms, this.timeLeftMs)));
+    }
+}
--- /dev/null
+++ b/delivery/src/onceDelivery.ts
@@ -0,0 +1,176 @@
+import { TokenBucket } from "@pistachioreel/limits";
+import type { ObjectStore } from "@pistachioreel/platform-store";
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { AttemptSequence } from "./attemptSequence.js";
+import { ClaimRepair } from "./claimRepair.js";
+import type { DeliveryObserver } from "./deliveryObserver.js";
+import type { DeliveryReport } from "./deliveryReport.js";
+import type { DeliveryRequest } from "./deliveryRequest.js";
+import { OnceClaim } from "./onceClaim.js";
+import type { OnceRecord } from "./onceRecord.js";
+import { OPEN_WORKSPACE } from "./openWorkspace.js";
+import type { RequestBody } from "./requestBody.js";
+
+interface OnceDeliveryOptions {
+    readonly store: ObjectStore;
+    readonly hostId: string;
+    /** Hosts that share the store's write budget. */
+    readonly hostCount: () => number;
+    readonly attempts: AttemptSequence;
+    readonly observe: DeliveryObserver;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+/** Writes a second that the store has for claims, over all hosts. */
+const STORE_WRITES_PER_SECOND = 300;
+const WRITES_PER_REQUEST = 2;
+const MAX_RECORD_TRIES = 100;
+const MIN_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 5_000;
+/** Outcomes that wait for the store with their response, at most 64 KiB each; further ones are recorded without it. */
+const MAX_KEPT_RESPONSES = 200;
+
+/** Runs non-idempotent requests at most once, by a claim in the store for each idempotency key. */
+export class OnceDelivery {
+    private readonly repair: ClaimRepair;
+    private readonly background = new Set<Promise<void>>();
+    private budget: TokenBucket | undefined;
+    private budgetHosts = 0;
+
+    constructor(private readonly opts: OnceDeliveryOptions) {
+        this.repair = new ClaimRepair(opts.observe);
+    }
+
+    /** Runs the request, or returns the recorded response of an earlier message with the same idempotency key. */
+    async deliver(request: DeliveryRequest, body: RequestBody | undefined): Promise<Result<DeliveryReport, Failure>> {
+        if (!this.takeBudget()) {
+            this.opts.observe("claim-budget-spent", { request: request.id });
+            return err(new Failure("storeBudgetSpent"));
+        }
+        const { store, hostId, now } = this.opts;
+        const { deadlineAt } = request;
+        const name = objectName(request);
+        const claim = new OnceClaim({
+            store,
+            hostId,
+            now,
+            deadlineAt,
+            name,
+            fingerprint: fingerprintOf(request, body),
+        });
+        const acquired = await this.acquire(claim, deadlineAt);
+        if (acquired.isErr()) {
+            this.opts.observe("claim-refused", { request: request.id, fields: { code: acquired.error.number } });
+            return err(acquired.error);
+        }
+        if (acquired.value.kind === "done") {
+            this.opts.observe("claim-repeated", { request: request.id });
+            return replay(request, acquired.value.record);
+        }
+        this.opts.observe("claim-held", { request: request.id });
+        const result = await this.opts.attempts.run(request, body);
+        this.track(this.record(claim, result));
+        return result;
+    }
+
+    /** Resolves when all outcomes are recorded and all claims of refused requests are repaired. */
+    async idle(): Promise<void> {
+        await Promise.all(this.background);
+        await this.repair.idle();
+    }
+
+    private async acquire(claim: OnceClaim, deadlineAt: number): ReturnType<OnceClaim["acquire"]> {
+        const acquiring = claim.acquire();
+        const timer = new AbortController();
+        const timeout = sleep(Math.max(0, deadlineAt - this.opts.now()), undefined, { signal: timer.signal })
+            .catch(() => undefined);
+        const result = await Promise.race([acquiring, timeout]);
+        timer.abort();
+        if (result === undefined) {
+            // A store call is still out; what it writes must end as not run, because the caller is told so.
+            this.track(acquiring.then(() => this.repair.add(claim)));
+            return err(claim.unavailable);
+        }
+        if (result.isErr() && claim.isUnsettled) {
+            this.repair.add(claim);
+        }
+        return result;
+    }
+
+    private async record(claim: OnceClaim, result: Result<DeliveryReport, Failure>): Promise<void> {
+        const outcome = outcomeOf(result, this.background.size < MAX_KEPT_RESPONSES);
+        if (outcome === undefined) {
+            return;
+        }
+        for (let tries = 1; tries <= MAX_RECORD_TRIES; tries++) {
+            const recorded = await claim.record(outcome);
+            if (recorded.isOk()) {
+                return;
+            }
+            const backoffMs = Math.random() * Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** tries);
+            await sleep(backoffMs, undefined, { ref: false });
+        }
+        this.opts.observe("outcome-not-recorded");
+    }
+
+    private track(work: Promise<void>): void {
+        this.background.add(work);
+        void work.finally(() => this.background.delete(work));
+    }
+
+    private takeBudget(): boolean {
+        const hosts = Math.max(1, this.opts.hostCount());
+        if (this.budget === undefined || hosts !== this.budgetHosts) {
+            const rate = STORE_WRITES_PER_SECOND / WRITES_PER_REQUEST / hosts;
+            this.budget = new TokenBucket({ rate, capacity: Math.max(1, rate), now: this.opts.now });
+            this.budgetHosts = hosts;
+        }
+        return this.budget.tryTake();
+    }
+}
+
+function objectName({ workspace = OPEN_WORKSPACE, routePath, idempotencyKey = "" }: DeliveryRequest): string {
+    const digest = createHash("sha256").update(`${routePath}\n${idempotencyKey}`).digest("hex");
+    return `once/${workspace}/${digest}`;
+}
+
+function fingerprintOf({ request }: DeliveryRequest, body: RequestBody | undefined): string {
+    const { method = "", url = "", headers } = request;
+    const length = body === undefined ? 0 : body.isWhole ? body.head.length : headers["content-length"] ?? "";
+    const hash = createHash("sha256").update(`${method}\n${url}\n${length}\n`);
+    return hash.update(body?.head ?? "").digest("hex");
+}
+
+/** What the store keeps of a result; nothing if the request may have run, because no host may run it again. */
+function outcomeOf(
+    result: Result<DeliveryReport, Failure>,
+    keepsBody: boolean,
+): Pick<OnceRecord, "state" | "response"> | undefined {
+    if (result.isErr()) {
+        return result.error.isNotRun ? { state: "not_run" } : undefined;
+    }
+    const { status, headers, body, digest } = result.value.answer;
+    const kept = keepsBody ? body?.toString("base64") : undefined;
+    return { state: "done", response: { status, headers: [...headers], body: kept, digest } };
+}
+
+function replay(
+    { id, response }: DeliveryRequest,
+    { response: recorded }: OnceRecord,
+): Result<DeliveryReport, Failure> {
+    if (recorded?.body === undefined) {
+        return err(new Failure("answerNotKept", undefined, { details: { status: recorded?.status ?? 0 } }));
+    }
+    const { status, headers } = recorded;
+    const body = Buffer.from(recorded.body, "base64");
+    const framing = headers.filter((_, i) => headers[i - i % 2]?.toLowerCase() !== "content-length");
+    if (!response.destroyed) {
+        response.writeHead(status, [...framing, "content-length", String(body.length), "x-request-id", id]);
+        response.end(body);
+    }
+    return ok({ target: undefined, attempts: 0, answer: { status, headers, body, digest: recorded.digest } });
+}
--- /dev/null
+++ b/delivery/src/readRequestBody.ts
@@ -0,0 +1,60 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import type { IncomingMessage } from "node:http";
+import type { RequestBody } from "./requestBody.js";
+
+interface ReadOptions {
+    /** Size that the route accepts, in bytes. */
+    readonly maxBodyBytes: number;
+    /** Time until the body, or its first 64 KiB, must have arrived, in ms. */
+    readonly timeoutMs: number;
+}
+
+/** Bodies up to this size are held, so that they can be sent again. */
+const HELD_BODY_BYTES = 64 * 1024;
+
+/**
+ * Reads the body up to 64 KiB; what was read of a larger one is put back into the stream. `undefined` without a body.
+ *
+ * Failures, all before a byte went to a target: `bodyTooLarge`, `requestTimeout`, `requestMalformed` (broken off).
+ */
+export async function readRequestBody(
+    request: IncomingMessage,
+    opts: ReadOptions,
+): Promise<Result<RequestBody | undefined, Failure>> {
+    const hasBody = "transfer-encoding" in request.headers || Number(request.headers["content-length"] ?? 0) > 0;
+    return hasBody ? readHead(request, opts) : ok(undefined);
+}
+
+function readHead(request: IncomingMessage, opts: ReadOptions): Promise<Result<RequestBody, Failure>> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        const finish = (result: Result<RequestBody, Failure>) => {
+            clearTimeout(timer);
+            request.off("data", onData).off("end", onEnd).off("close", onClose).off("error", onClose);
+            resolve(result);
+        };
+        const onData = (chunk: Buffer) => {
+            chunks.push(chunk);
+            bytes += chunk.length;
+            if (bytes > opts.maxBodyBytes) {
+                request.pause();
+                finish(err(new Failure("bodyTooLarge")));
+            }
+            else if (bytes > HELD_BODY_BYTES) {
+                request.pause();
+                const head = Buffer.concat(chunks);
+                request.unshift(head);
+                finish(ok({ head: head.subarray(0, HELD_BODY_BYTES), isWhole: false }));
+            }
+        };
+        const onEnd = () => finish(ok({ head: Buffer.concat(chunks), isWhole: true }));
+        const onClose = () => finish(err(new Failure("requestMalformed", "the body broke off")));
+        const timer = setTimeout(
+            () => finish(err(new Failure("requestTimeout", "the body did not arrive in time"))),
+            opts.timeoutMs,
+        );
+        request.on("data", onData).once("end", onEnd).once("close", onClose).once("error", onClose);
+    });
+}
--- /dev/null
+++ b/delivery/src/retryBudget.ts
@@ -0,0 +1,60 @@
+interface RetryBudgetOptions {
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    /** Retries allowed for each first attempt. */
+    readonly share?: number;
+    /** Retries that are always allowed, per second. */
+    readonly minPerSecond?: number;
+}
+
+const DEFAULT_SHARE = 0.1;
+const DEFAULT_MIN_PER_SECOND = 3;
+const WINDOW_SECONDS = 10;
+const MS_PER_SECOND = 1_000;
+
+/** Limits retries within the last 10 s to a share of the first attempts, so that retries cannot multiply an overload. */
+export class RetryBudget {
+    private readonly first = new Array<number>(WINDOW_SECONDS).fill(0);
+    private readonly retries = new Array<number>(WINDOW_SECONDS).fill(0);
+    private second: number;
+
+    constructor(private readonly opts: RetryBudgetOptions) {
+        this.second = this.currentSecond();
+    }
+
+    /** Counts a request's first attempt. */
+    countFirst(): void {
+        this.advance();
+        this.first[this.second % WINDOW_SECONDS]!++;
+    }
+
+    /** Takes one retry if the budget allows it. */
+    tryTake(): boolean {
+        this.advance();
+        const { share = DEFAULT_SHARE, minPerSecond = DEFAULT_MIN_PER_SECOND } = this.opts;
+        const allowed = Math.max(share * sum(this.first), minPerSecond * WINDOW_SECONDS);
+        if (sum(this.retries) + 1 > allowed) {
+            return false;
+        }
+        this.retries[this.second % WINDOW_SECONDS]!++;
+        return true;
+    }
+
+    private advance(): void {
+        const current = this.currentSecond();
+        const passed = Math.min(current - this.second, WINDOW_SECONDS);
+        for (let i = 1; i <= passed; i++) {
+            this.first[(this.second + i) % WINDOW_SECONDS] = 0;
+            this.retries[(this.second + i) % WINDOW_SECONDS] = 0;
+        }
+        this.second = current;
+    }
+
+    private currentSecond(): number {
+        return Math.floor(this.opts.now() / MS_PER_SECOND);
+    }
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- a/delivery/src/targetPools.ts
+++ b/delivery/src/targetPools.ts
@@ -2,45 +2,83 @@
 
 interface TargetAddress {
     readonly id: string;
+    /** Connections that the target accepts from all hosts together. */
     readonly connections: number;
 }
 
 interface TargetPoolsOptions {
     /** Time for a connection to a target, in ms. */
     readonly connectTimeoutMs?: number;
+    /** Hosts that share the connections of a target; 1 by default. */
+    readonly hostCount?: () => number;
+}
+
+interface TargetPool {
+    readonly pool: Pool;
+    readonly connections: number;
+    timeoutsInRow: number;
 }
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
+/** A connection that was idle for longer may have gone silent; a new one costs about 1 ms. */
+const MAX_IDLE_MS = 2_000;
+const MAX_TIMEOUTS_IN_ROW = 3;
 
 /** Connection pools to targets, one for each target in use. */
 export class TargetPools {
-    private readonly pools = new Map<string, Pool>();
+    private readonly pools = new Map<string, TargetPool>();
 
     constructor(private readonly opts: TargetPoolsOptions = {}) {}
 
     poolOf(target: TargetAddress): Pool {
-        let pool = this.pools.get(target.id);
-        if (pool === undefined) {
-            pool = new Pool(`http://${target.id}`, {
-                connections: target.connections,
-                pipelining: 1,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-                connect: { timeout: this.opts.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
-            });
-            this.pools.set(target.id, pool);
+        const connections = Math.max(1, Math.floor(target.connections / Math.max(1, this.opts.hostCount?.() ?? 1)));
+        const existing = this.pools.get(target.id);
+        if (existing?.connections === connections) {
+            return existing.pool;
         }
+        this.dropIdle(target.id);
+        const pool = new Pool(`http://${target.id}`, {
+            connections,
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            keepAliveTimeout: MAX_IDLE_MS,
+            keepAliveMaxTimeout: MAX_IDLE_MS,
+            connect: { timeout: this.opts.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
+        });
+        this.pools.set(target.id, { pool, connections, timeoutsInRow: 0 });
         return pool;
     }
 
+    /** Takes note of whether an attempt timed out. Tells whether the target's idle connections were dropped for it. */
+    noteAttempt(targetId: string, timedOut: boolean): boolean {
+        const entry = this.pools.get(targetId);
+        if (entry === undefined) {
+            return false;
+        }
+        entry.timeoutsInRow = timedOut ? entry.timeoutsInRow + 1 : 0;
+        if (entry.timeoutsInRow < MAX_TIMEOUTS_IN_ROW) {
+            return false;
+        }
+        this.dropIdle(targetId);
+        return true;
+    }
+
     /** Closes the pools of targets that are no longer in the inventory once their requests have ended. */
     async retain(targetIds: ReadonlySet<string>): Promise<void> {
         const removed = [...this.pools].filter(([id]) => !targetIds.has(id));
         removed.forEach(([id]) => this.pools.delete(id));
-        await Promise.all(removed.map(([, pool]) => pool.close()));
+        await Promise.all(removed.map(([, { pool }]) => pool.close()));
     }
 
     async close(): Promise<void> {
         await this.retain(new Set());
     }
+
+    /** Closing a pool ends its idle connections at once and the others after their requests. */
+    private dropIdle(targetId: string): void {
+        const entry = this.pools.get(targetId);
+        this.pools.delete(targetId);
+        entry?.pool.close().catch(() => undefined);
+    }
 }
--- /dev/null
+++ b/delivery/test/deliveryFleet.ts
@@ -0,0 +1,100 @@
+import { Caller, FaultProxy, Fleet, type FleetTarget, type TargetRecord } from "@pistachioreel/testing";
+
+interface DeliveryFleetOptions {
+    readonly hosts?: number;
+    /** Availability zones, each with one target. */
+    readonly zones?: readonly string[];
+    readonly slots?: number;
+    readonly deadlineMs?: number;
+    readonly attemptTimeoutMs?: number;
+    readonly behaviour?: FleetTarget["behaviour"];
+}
+
+type Sent = Partial<Parameters<Caller["send"]>[0]>;
+
+const REGION = "perth";
+const PORT = 8080;
+const TARGET_GROUP = 2;
+const PROXY_GROUP = 3;
+
+/** Entry hosts whose connections to targets go through fault proxies. */
+export class DeliveryFleet {
+    readonly caller = new Caller();
+    readonly proxies: FaultProxy[] = [];
+
+    private constructor(readonly fleet: Fleet, readonly targets: readonly FleetTarget[]) {}
+
+    static async start(opts: DeliveryFleetOptions = {}): Promise<DeliveryFleet> {
+        const { hosts = 3, zones = ["perth-a", "perth-b"], slots = 8, behaviour } = opts;
+        const targets: FleetTarget[] = [];
+        const proxyOf = new Map<string, string>();
+        const fleet = await Fleet.start({
+            hosts: Array.from({ length: hosts }, (_, index) => ({
+                availabilityZone: zones[index % zones.length] as string,
+                region: REGION,
+            })),
+            targets: network => {
+                zones.slice(targets.length).forEach((availabilityZone, index) => {
+                    const address = network.address(TARGET_GROUP, index);
+                    proxyOf.set(address, network.address(PROXY_GROUP, index));
+                    const target = { address, port: PORT, availabilityZone, region: REGION, service: "shop", slots };
+                    targets.push({ ...target, behaviour });
+                });
+                return targets;
+            },
+            inventoryAddress: ({ address }) => proxyOf.get(address) as string,
+            rules: rulesOf(opts),
+        });
+        const started = new DeliveryFleet(fleet, targets);
+        for (const { address } of targets) {
+            const listenAt = { address: proxyOf.get(address) as string, port: PORT };
+            started.proxies.push(await new FaultProxy(listenAt, { address, port: PORT }).start());
+        }
+        return started;
+    }
+
+    /** Sends an order, which must run at most once. */
+    order(host: number, marker: string, changes: Sent = {}): ReturnType<Caller["send"]> {
+        return this.send(host, marker, { path: "/orders", method: "POST", isIdempotent: false, ...changes });
+    }
+
+    send(host: number, marker: string, changes: Sent = {}): ReturnType<Caller["send"]> {
+        return this.caller.send({ host: this.fleet.callersOf(host), path: "/stock", marker, ...changes });
+    }
+
+    async setBehaviour(behaviour: FleetTarget["behaviour"], indexes = [...this.targets.keys()]): Promise<void> {
+        for (const index of indexes) {
+            await this.fleet.setBehaviour(`${this.targets[index]?.address}:${PORT}`, behaviour ?? {});
+        }
+    }
+
+    runsOf(marker: string): TargetRecord[] {
+        return this.fleet.records().filter(record => record.marker === marker && record.event === "start");
+    }
+
+    /** Value of a counter of a host; 0 if it was never counted. */
+    async metric(host: number, name: string): Promise<number> {
+        const text = await (await fetch(`http://${this.fleet.adminOf(host)}/metrics`)).text();
+        return Number(text.split("\n").find(line => line.startsWith(name))?.split(" ").at(-1) ?? 0);
+    }
+
+    async stop(): Promise<void> {
+        await this.caller.close();
+        this.proxies.forEach(proxy => proxy.close());
+        await this.fleet.stop();
+    }
+}
+
+function rulesOf({ deadlineMs = 3_000, attemptTimeoutMs = 2_000 }: DeliveryFleetOptions): string {
+    const route = { service: "shop", open: true };
+    return JSON.stringify({
+        deployment: "delivery-test",
+        services: { shop: { deadlineMs, attemptTimeoutMs } },
+        routes: [
+            { ...route, path: "/stock", methods: ["GET", "HEAD", "POST"], idempotent: true },
+            { ...route, path: "/notes", methods: ["POST"], idempotent: true, maxBodyBytes: 100_000 },
+            { ...route, path: "/orders", methods: ["POST"], idempotent: false },
+        ],
+        workspaces: { growers: { rate: 100, burst: 100 } },
+    });
+}
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -37,6 +37,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEY_PATTERN = /prk_[\w-]{8,}/;
+const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 const MS_PER_SECOND = 1_000;
 
 /** Listener for callers: lookups, and requests that are delivered to targets. */
@@ -99,6 +100,9 @@
             service: route.service,
             priority: route.priority,
             isIdempotent: route.idempotent,
+            routePath: route.path,
+            idempotencyKey: request.headers["idempotency-key"]?.toString(),
+            maxBodyBytes: route.maxBodyBytes,
             deadlineAt: startedAt + deadlineMs,
             attemptTimeoutMs: service?.attemptTimeoutMs ?? deadlineMs,
             key,
@@ -110,7 +114,7 @@
             this.refuseRequest(request, response, id, result.error, workspace);
             return;
         }
-        const { target, status = 0, attempts } = result.value;
+        const { target = "", attempts, answer: { status } } = result.value;
         this.opts.metrics.requests.inc({ workspace: workspace ?? "", code: 0 });
         this.opts.timeline.record("request-complete", { request: id, workspace, fields: { target, status, attempts } });
     }
@@ -130,9 +134,13 @@
         if (Number(request.headers["content-length"] ?? 0) > route.maxBodyBytes) {
             return err(new Failure("bodyTooLarge"));
         }
-        if (!route.idempotent && request.headers["idempotency-key"] === undefined) {
+        const idempotencyKey = request.headers["idempotency-key"]?.toString();
+        if (!route.idempotent && idempotencyKey === undefined) {
             return err(new Failure("idempotencyKeyMissing"));
         }
+        if (idempotencyKey !== undefined && !IDEMPOTENCY_KEY_PATTERN.test(idempotencyKey)) {
+            return err(new Failure("requestMalformed", "`Idempotency-Key` must be 1 to 255 visible ASCII characters"));
+        }
         if (route.open) {
             return ok({ route, configuration, workspace: undefined, key: bearerKey(request) });
         }
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,5 +1,5 @@
 import type { Settings } from "@pistachioreel/config";
-import { Delivery, TargetPools } from "@pistachioreel/delivery";
+import { ClaimSweep, Delivery, type DeliveryObserver, OPEN_WORKSPACE, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
 import { HttpObjectStore } from "@pistachioreel/platform-store";
 import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
@@ -21,7 +21,9 @@
 export class EntryHost {
     private readonly state = new FleetState();
     private readonly metrics = new EntryMetrics();
-    private readonly pools = new TargetPools();
+    private readonly pools = new TargetPools({ hostCount: () => this.state.hosts.length });
+    private readonly delivery: Delivery;
+    private readonly sweep: ClaimSweep;
     private readonly stopping = new AbortController();
     private readonly logger: Logger;
     private readonly store: HttpObjectStore;
@@ -38,19 +40,34 @@
         const slots = new SlotLedger();
         const { state, metrics } = this;
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        const observe: DeliveryObserver = (event, observed) => {
+            metrics.delivery.inc({ event });
+            timeline.record(event, observed);
+        };
+        this.sweep = new ClaimSweep({
+            store: this.store,
+            workspaces: () => [OPEN_WORKSPACE, ...Object.keys(state.configuration?.rules.workspaces ?? {})],
+            share: () => ({ index: state.hosts.findIndex(({ id }) => id === hostId), count: state.hosts.length }),
+            observe,
+        });
+        this.delivery = new Delivery({
+            hostId,
+            pools: this.pools,
+            store: this.store,
+            hostCount: () => state.hosts.length,
+            observe,
+            queue: new PollingTargetQueue({
+                chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
+                slots,
+                targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+                now: monotonicNow,
+            }),
+            now: monotonicNow,
+        });
         this.callers = new CallerListener({
             ...shared,
             admission: new WorkspaceAdmission(state, monotonicNow),
-            delivery: new Delivery({
-                pools: this.pools,
-                queue: new PollingTargetQueue({
-                    chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-                    slots,
-                    targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-                    now: monotonicNow,
-                }),
-                now: monotonicNow,
-            }),
+            delivery: this.delivery,
             now: monotonicNow,
         });
         this.admin = createAdminListener({ ...shared, store: this.store, isReady: () => this.isReady });
@@ -78,6 +95,7 @@
         const { signal } = this.stopping;
         void new DocumentWatch({ store, state, logger, signal }).run();
         void pollHostList(store, state, signal);
+        void this.sweep.run(signal);
         this.logger.info({
             event: "host-started",
             fields: { host: hostId, callers: `${callers.address}:${callers.port}` },
@@ -88,7 +106,7 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
-        const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
+        const drained = await withTimeout(this.drain(), this.settings.drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
         this.admin.close();
@@ -99,6 +117,11 @@
         return drained;
     }
 
+    private async drain(): Promise<void> {
+        await this.callers.drain();
+        await this.delivery.idle();
+    }
+
     private retainPools(): void {
         const ids = new Set(this.state.configuration?.targets.map(target => target.id));
         this.pools.retain(ids).catch((error: Error) => {
--- a/entry/src/entryMetrics.ts
+++ b/entry/src/entryMetrics.ts
@@ -18,6 +18,12 @@
         buckets: LATENCY_BUCKETS_SECONDS,
         registers: [this.registry],
     });
+    readonly delivery = new Counter({
+        name: "pistachioreel_delivery_events_total",
+        help: "Claims, retries, failed attempts and refusals on the way to targets, by event",
+        labelNames: ["event"],
+        registers: [this.registry],
+    });
     readonly documentVersion = new Gauge({
         name: "pistachioreel_document_version",
         help: "Version of each document in force",
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -99,12 +99,20 @@
     workspaceMismatch: code(3017, 403, "not run", "the route is not open to this workspace", "use the right key"),
     queueFull: code(3018, 503, "not run", "the queue of the workspace is full", "retry later"),
     headerTooLarge: code(3019, 431, "not run", "the request head is too large", "send fewer or shorter headers"),
-    requestTimeout: code(3020, 408, "not run", "the request head did not arrive in time", "send the head faster"),
+    requestTimeout: code(3020, 408, "not run", "the request did not arrive in time", "send the request faster"),
+    claimUnavailable: code(
+        3030,
+        503,
+        "not run",
+        "the store did not take the claim of the request",
+        "repeat with the same `Idempotency-Key`",
+    ),
 
     // 4xxx: requests that may have run
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
     answerBroken: code(4002, 502, "run", "the target's answer broke off", "repeat if the work is idempotent"),
     deadlineExceeded: code(4003, 504, "unknown", "the deadline passed while the request ran", "repeat if idempotent"),
+    answerNotKept: code(4004, 410, "run", "the request ran; its response was too large to keep", "look up the result"),
 
     // 5xxx: hosts
     peerRejected: code(5001, 403, "none", "the peer did not prove that it belongs", "compare the peer secrets"),
