Cut no request in a planned stop

Cause: a stopping host closed idle connections at once, which can cut a request that is on its way; responses whose head was not sent when the stop began kept their connections; the drain could take twice its time; outcomes of orders were not waited for.

Change: a stopping host serves callers for up to half the drain time (11 s at most), asks them to leave in every response, names itself in no look-up, then closes, and exits after the outcomes of orders are recorded.

--- a/delivery/test/deliveryFleet.ts
+++ b/delivery/test/deliveryFleet.ts
@@ -8,6 +8,7 @@
     readonly deadlineMs?: number;
     readonly attemptTimeoutMs?: number;
     readonly behaviour?: FleetTarget["behaviour"];
+    readonly drainTimeoutMs?: number;
 }
 
 type Sent = Partial<Parameters<Caller["send"]>[0]>;
@@ -22,7 +23,7 @@
     readonly caller = new Caller();
     readonly proxies: FaultProxy[] = [];
 
-    private constructor(readonly fleet: Fleet, readonly targets: readonly FleetTarget[]) {}
+    private constructor(readonly fleet: Fleet, readonly targets: FleetTarget[]) {}
 
     static async start(opts: DeliveryFleetOptions = {}): Promise<DeliveryFleet> {
         const { hosts = 3, zones = ["perth-a", "perth-b"], slots = 8, behaviour } = opts;
@@ -44,6 +45,7 @@
             },
             inventoryAddress: ({ address }) => proxyOf.get(address) as string,
             rules: rulesOf(opts),
+            settings: settings => ({ ...settings, drainTimeoutMs: opts.drainTimeoutMs ?? settings.drainTimeoutMs }),
         });
         const started = new DeliveryFleet(fleet, targets);
         for (const { address } of targets) {
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { FleetState } from "./fleetState.js";
 import { refuse } from "./refuse.js";
@@ -35,6 +36,7 @@
 const LOOKUP_LIFETIME_SECONDS = 10;
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const LINGER_POLL_MS = 20;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEY_PATTERN = /prk_[\w-]{8,}/;
 const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
@@ -44,6 +46,8 @@
 export class CallerListener {
     readonly server: Server;
     private sequence = 0;
+    private readonly running = new Set<ServerResponse>();
+    private connections = 0;
     private leaving = false;
 
     constructor(private readonly opts: CallerListenerOptions) {
@@ -56,20 +60,38 @@
             this.handle(request, response).catch((cause: Error) => response.destroy(cause));
         });
         this.server.on("clientError", rejectMalformed);
+        this.server.on("connection", (socket: Duplex) => {
+            this.connections++;
+            socket.once("close", () => this.connections--);
+        });
     }
 
-    /** Stops taking connections; responses from now on ask callers to leave. Resolves when all requests have ended. */
-    async drain(): Promise<void> {
+    /**
+     * Serves callers that still come, for at most `lingerMs`, then closes. Responses ask their callers to leave, those
+     * of running requests too. Resolves when all requests have ended.
+     */
+    async drain(lingerMs: number): Promise<void> {
         this.leaving = true;
+        this.running.forEach(response => response.shouldKeepAlive = false);
+        await this.linger(this.opts.now() + lingerMs);
         await new Promise<void>(resolve => {
             this.server.close(() => resolve());
             this.server.closeIdleConnections();
         });
     }
 
+    /** A connection that is closed while it is idle can cut off a request that is on its way. */
+    private async linger(until: number): Promise<void> {
+        while (this.connections > 0 && this.opts.now() < until) {
+            await sleep(LINGER_POLL_MS);
+        }
+    }
+
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.running.add(response);
+        response.once("close", () => this.running.delete(response));
         if (this.leaving) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         if (request.method === "GET" && pathOf(request) === LOOKUP_PATH) {
             this.answerLookup(response);
@@ -195,8 +217,9 @@
     }
 
     private answerLookup(response: ServerResponse): void {
-        const { state, availabilityZone, region } = this.opts;
-        const hosts = new EntryHostRanking(state.hosts).rank({ availabilityZone, region });
+        const { state, availabilityZone, region, hostId } = this.opts;
+        const listed = this.leaving ? state.hosts.filter(({ id }) => id !== hostId) : state.hosts;
+        const hosts = new EntryHostRanking(listed).rank({ availabilityZone, region });
         const body = JSON.stringify({ hosts, lifetimeSeconds: LOOKUP_LIFETIME_SECONDS });
         response.writeHead(200, {
             "content-type": "application/json",
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -16,6 +16,11 @@
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
 const INCARNATION_BYTES = 6;
+const CLOSE_TIMEOUT_MS = 500;
+/** Callers use a look-up for 10 s, so they can still come for that long. */
+const MAX_LINGER_MS = 11_000;
+/** Share of the drain time in which callers are still served; the rest is for running requests. */
+const LINGER_SHARE = 0.5;
 
 /** One entry host: it takes requests from callers and delivers them to targets. */
 export class EntryHost {
@@ -106,19 +111,21 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
-        const drained = await withTimeout(this.drain(), this.settings.drainTimeoutMs);
+        const { drainTimeoutMs } = this.settings;
+        const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
         this.admin.close();
         this.admin.closeAllConnections();
+        await withTimeout(this.pools.close(), CLOSE_TIMEOUT_MS);
         await this.store.close();
-        await withTimeout(this.pools.close(), this.settings.drainTimeoutMs);
         this.logger.info({ event: "host-stopped", fields: { drained } });
         return drained;
     }
 
     private async drain(): Promise<void> {
-        await this.callers.drain();
+        const lingerMs = Math.min(MAX_LINGER_MS, this.settings.drainTimeoutMs * LINGER_SHARE);
+        await this.callers.drain(lingerMs);
         await this.delivery.idle();
     }
 
--- a/testing/src/fleet.ts
+++ b/testing/src/fleet.ts
@@ -20,6 +20,8 @@
     readonly service: string;
     readonly slots: number;
     readonly behaviour?: Partial<TargetBehaviour>;
+    /** State in the inventory; "live" by default. */
+    readonly state?: "live" | "leaving";
 }
 
 interface HostPlace {
@@ -220,8 +222,8 @@
     private inventory(): string {
         const rows = this.opts.targets(this.network).map(target => {
             const address = this.opts.inventoryAddress?.(target) ?? target.address;
-            const { port, availabilityZone, region, service, slots } = target;
-            return [address, port, availabilityZone, region, service, slots, 360, "live"].join(",");
+            const { port, availabilityZone, region, service, slots, state = "live" } = target;
+            return [address, port, availabilityZone, region, service, slots, 360, state].join(",");
         });
         return ["address,port,availability_zone,region,service,slots,connections,state", ...rows].join("\n");
     }
