--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,5 +1,5 @@
 import type { Settings } from "@pistachioreel/config";
-import { Delivery, TargetPools } from "@pistachioreel/delivery";
+import { ClaimSweep, Delivery, type DeliveryObserver, OPEN_WORKSPACE, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
@@ -15,11 +15,19 @@
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
+const CLOSE_TIMEOUT_MS = 500;
+/** Callers use a look-up for 10 s, so they can still come for that long. */
+const MAX_LINGER_MS = 11_000;
+/** Share of the drain time in which callers are still served; the rest is for running requests. */
+const LINGER_SHARE = 0.5;
+
 /** One entry host: it takes requests from callers and delivers them to targets. */
 export class EntryHost {
     private readonly state = new FleetState();
     private readonly metrics = new EntryMetrics();
-    private readonly pools = new TargetPools();
+    private readonly pools = new TargetPools({ hostCount: () => this.state.hosts.length });
+    private readonly delivery: Delivery;
+    private readonly sweep: ClaimSweep;
     private readonly stopping = new AbortController();
     private readonly logger: Logger;
     private readonly store: HttpObjectStore;
@@ -56,14 +64,29 @@
             now: monotonicNow,
         });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        const observe: DeliveryObserver = (event, observed) => {
+            metrics.delivery.inc({ event });
+            timeline.record(event, observed);
+        };
+        this.sweep = new ClaimSweep({
+            store: this.store,
+            workspaces: () => [OPEN_WORKSPACE, ...Object.keys(state.configuration?.rules.workspaces ?? {})],
+            share: () => ({ index: state.hosts.findIndex(({ id }) => id === hostId), count: state.hosts.length }),
+            observe,
+        });
+        this.delivery = new Delivery({
+            hostId,
+            pools: this.pools,
+            store: this.store,
+            hostCount: () => state.hosts.length,
+            observe,
+            queue,
+            now: monotonicNow,
+        });
         this.callers = new CallerListener({
             ...shared,
             admission: new WorkspaceAdmission(state, monotonicNow),
-            delivery: new Delivery({
-                pools: this.pools,
-                queue,
-                now: monotonicNow,
-            }),
+            delivery: this.delivery,
             now: monotonicNow,
         });
         this.admin = createAdminListener({
@@ -98,6 +121,7 @@
         const { signal } = this.stopping;
         void new DocumentWatch({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
+        void this.sweep.run(signal);
         this.logger.info({
             event: "host-started",
             fields: { host: hostId, callers: `${callers.address}:${callers.port}` },
@@ -108,18 +132,25 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
-        const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
+        const { drainTimeoutMs } = this.settings;
+        const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
         this.mesh.stop();
         this.admin.close();
         this.admin.closeAllConnections();
+        await withTimeout(this.pools.close(), CLOSE_TIMEOUT_MS);
         await this.store.close();
-        await withTimeout(this.pools.close(), this.settings.drainTimeoutMs);
         this.logger.info({ event: "host-stopped", fields: { drained } });
         return drained;
     }
 
+    private async drain(): Promise<void> {
+        const lingerMs = Math.min(MAX_LINGER_MS, this.settings.drainTimeoutMs * LINGER_SHARE);
+        await this.callers.drain(lingerMs);
+        await this.delivery.idle();
+    }
+
     private takeHosts(hosts: readonly ListedHost[]): void {
         this.state.hosts = hosts;
         this.mesh.setPeers(hosts.map(({ id, peers }) => ({ hostId: id, address: peers })));
