Admit requests by lent shares instead of a static part of the list

Refusals inside the rate are counted apart from those outside; tokens lent and borrowed and the messages sent are shown as metrics.

--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -76,7 +76,7 @@
         }
         const id = `${this.opts.hostId}-${this.opts.incarnation}-${++this.sequence}`;
         const startedAt = this.opts.now();
-        const admitted = this.admit(request);
+        const admitted = await this.limit(this.admit(request));
         if (admitted.isErr()) {
             this.refuseRequest(request, response, id, admitted.error);
             return;
@@ -144,6 +144,15 @@
         }));
     }
 
+    private async limit(allowed: Result<AdmittedRequest, Failure>): Promise<Result<AdmittedRequest, Failure>> {
+        const workspace = allowed.isOk() ? allowed.value.workspace : undefined;
+        if (workspace === undefined) {
+            return allowed;
+        }
+        const { admitted, retryAfterSeconds } = await this.opts.admission.admit(workspace);
+        return admitted ? allowed : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+    }
+
     private authenticate(request: IncomingMessage, route: Route): Result<{ workspace: string; key: string; }, Failure> {
         const key = bearerKey(request);
         if (key === undefined) {
@@ -156,10 +165,7 @@
         if (route.workspaces !== undefined && !route.workspaces.includes(workspace)) {
             return err(new Failure("workspaceMismatch"));
         }
-        const { admitted, retryAfterSeconds } = this.opts.admission.admit(workspace);
-        return admitted
-            ? ok({ workspace, key })
-            : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+        return ok({ workspace, key });
     }
 
     private refuseRequest(
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -12,6 +12,7 @@
 import { EntryMetrics } from "./entryMetrics.js";
 import { FleetState } from "./fleetState.js";
 import { pollHostList } from "./hostListPoll.js";
+import { ListShares } from "./listShares.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
@@ -26,6 +27,7 @@
     private readonly callers: CallerListener;
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
+    private readonly admission: WorkspaceAdmission;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -53,9 +55,17 @@
             now: monotonicNow,
         });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        this.admission = new WorkspaceAdmission({
+            identity: { hostId, incarnation, availabilityZone, region },
+            state,
+            view: new ListShares(state, hostId),
+            mesh: this.mesh,
+            metrics,
+            now: monotonicNow,
+        });
         this.callers = new CallerListener({
             ...shared,
-            admission: new WorkspaceAdmission(state, monotonicNow),
+            admission: this.admission,
             delivery: new Delivery({
                 pools: this.pools,
                 queue,
@@ -93,6 +103,7 @@
         await listen(this.callers.server, callers);
         const { store, state, logger } = this;
         const { signal } = this.stopping;
+        this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         this.logger.info({
--- a/entry/src/entryMetrics.ts
+++ b/entry/src/entryMetrics.ts
@@ -30,8 +30,34 @@
         labelNames: ["kind"],
         registers: [this.registry],
     });
+    readonly rateRefusals = new Counter({
+        name: "pistachioreel_rate_refusals_total",
+        help:
+            "Requests refused by a workspace's limit; inside tells whether the known demand of all hosts was in the rate",
+        labelNames: ["workspace", "inside"],
+        registers: [this.registry],
+    });
 
     constructor() {
         collectDefaultMetrics({ register: this.registry });
     }
+
+    /** Shows the tokens that were lent and borrowed, and the loan messages that were sent, since the start. */
+    collectLoans(read: () => { lent: number; borrowed: number; messages: number; }): void {
+        const help = {
+            lent: "Tokens given to other hosts",
+            borrowed: "Tokens taken from other hosts",
+            messages: "Loan messages sent",
+        };
+        for (const name of ["lent", "borrowed", "messages"] as const) {
+            new Gauge({
+                name: `pistachioreel_loan_${name === "messages" ? name : `tokens_${name}`}`,
+                help: help[name],
+                registers: [this.registry],
+                collect() {
+                    this.set(read()[name]);
+                },
+            });
+        }
+    }
 }
--- /dev/null
+++ b/entry/src/loanExchange.ts
@@ -0,0 +1,59 @@
+import { type LoanPartner, type ShareLedger } from "@pistachioreel/limits";
+import type { PeerMesh } from "@pistachioreel/peering";
+
+interface LoanExchangeOptions {
+    readonly mesh: PeerMesh;
+    readonly ledger: ShareLedger;
+    /** Called when tokens have arrived. */
+    readonly onTokens: () => void;
+}
+
+const INTERVAL_MS = 100;
+const ANSWER_TIMEOUT_MS = 300;
+
+/** Carries requests for loans and their answers over the links between hosts. */
+export class LoanExchange {
+    /** Loan messages sent since the start, answers included. */
+    sentMessages = 0;
+
+    constructor(private readonly opts: LoanExchangeOptions) {
+        const { mesh, ledger } = opts;
+        const answer = (from: LoanPartner, message: unknown) => {
+            const loan = ledger.answer(from, message);
+            this.sentMessages += loan === undefined ? 0 : 1;
+            return loan;
+        };
+        mesh.handle("loan-request", answer);
+        mesh.handle("loan-return", answer);
+        mesh.attach("limits", {
+            payload: () => ledger.demandReport(),
+            receive: (from, payload) => ledger.takeDemandReport(from.hostId, payload),
+        });
+    }
+
+    /** Exchanges what is due for all workspaces at regular intervals until the signal aborts. */
+    start(signal: AbortSignal): void {
+        const timer = setInterval(() => this.exchange(), INTERVAL_MS);
+        signal.addEventListener("abort", () => clearInterval(timer), { once: true });
+    }
+
+    /** Sends what is due now, for all workspaces or those named. */
+    exchange(workspaces?: string[]): void {
+        for (const { to, message } of this.opts.ledger.requests(this.opts.mesh.peers(), workspaces)) {
+            this.sentMessages++;
+            if (message.type === "loan-return") {
+                this.opts.mesh.send(to.hostId, message);
+            }
+            else {
+                void this.request(to, message);
+            }
+        }
+    }
+
+    private async request(to: LoanPartner, message: { readonly type: string; }): Promise<void> {
+        const answer = await this.opts.mesh.request(to.hostId, { ...message }, ANSWER_TIMEOUT_MS);
+        if (answer.isOk() && this.opts.ledger.accept(to, answer.value)) {
+            this.opts.onTokens();
+        }
+    }
+}
--- /dev/null
+++ b/entry/test/workspaceLimits.test.ts
@@ -0,0 +1,108 @@
+import { Caller, countOverAdmitted, PartitionableFleet } from "@pistachioreel/testing";
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const LIMIT = { rate: 100, burst: 20 };
+const HOSTS = [0, 1, 2, 3];
+/** Enough to use up everything that any host may admit. */
+const OVERLOAD_PER_SECOND = 150;
+const SETTLE_MS = 4_000;
+const RULES = JSON.stringify({
+    deployment: "test",
+    services: { schedule: {} },
+    routes: [{ path: "/visits", methods: ["GET"], service: "schedule", idempotent: true }],
+    workspaces: { bank: LIMIT },
+});
+let faults: PartitionableFleet;
+let caller: Caller;
+let key: string;
+
+before(async () => {
+    const zones = ["tbilisi-a", "tbilisi-a", "tbilisi-b", "tbilisi-b"];
+    faults = await PartitionableFleet.start({ zones, rules: RULES });
+    caller = new Caller();
+    key = (await faults.fleet.issueKey("bank")).key;
+    await sleep(SETTLE_MS);
+});
+
+after(async () => {
+    await caller?.close();
+    await faults?.stop();
+});
+
+/** Sends requests to some hosts at an even pace for a time; returns how many a target ran. */
+async function load(name: string, hosts: readonly number[], durationMs: number, perSecond = OVERLOAD_PER_SECOND) {
+    const first = caller.records.length;
+    const startedAt = performance.now();
+    const sent: Promise<unknown>[] = [];
+    for (let count = 0; performance.now() - startedAt < durationMs;) {
+        for (; count < (performance.now() - startedAt) * perSecond / 1_000; count++) {
+            sent.push(...hosts.map(host =>
+                caller.send({
+                    host: faults.fleet.callersOf(host),
+                    path: "/visits",
+                    marker: `${name}-${host}-${count}`,
+                    key,
+                    timeoutMs: 2_000,
+                })
+            ));
+        }
+        await sleep(5);
+    }
+    await Promise.all(sent);
+    return caller.records.slice(first).filter(record => record.outcome === "complete").length;
+}
+
+function assertWithinLimit(): void {
+    assert.equal(countOverAdmitted(caller.records, faults.fleet.records(), LIMIT), 0, "over_admitted");
+}
+
+// Guards against shares that stay with idle hosts, without which the test of a lost borrower would prove nothing.
+test("a host with all callers gets the rate of the whole fleet and no more", async () => {
+    const admitted = await load("skewed", [0], 4_000);
+    assertWithinLimit();
+    assert.ok(admitted >= 4 * LIMIT.rate * 0.8, `admitted ${admitted}`);
+});
+
+// Guards against a borrower that keeps loans which their owners have taken back.
+test("a partitioned host does not keep what it has borrowed", async () => {
+    await load("before-cut", [0], 1_500);
+    faults.setPeerFault((opener, acceptor) => ({ mode: opener === 0 || acceptor === 0 ? "silent" : "pass" }));
+    await load("cut", HOSTS, 6_000);
+    assertWithinLimit();
+    faults.heal();
+    await sleep(SETTLE_MS);
+});
+
+// Guards against a process that uses expired loans and refills for the time of its pause when it resumes.
+test("a host that was paused does not use expired loans", async () => {
+    await load("before-pause", [0], 1_500);
+    faults.fleet.hosts[0]?.pause();
+    await load("paused", [1, 2, 3], 3_000);
+    faults.fleet.hosts[0]?.resume();
+    await load("resumed", HOSTS, 3_000);
+    assertWithinLimit();
+});
+
+// Guards against a new process that hands out again what its predecessor has lent.
+test("a host that was killed and replaced does not lend twice", async () => {
+    await load("before-kill", [0], 1_500);
+    await Promise.all([1, 2].map(host => faults.fleet.hosts[host]?.end("SIGKILL")));
+    await Promise.all([1, 2].map(host => faults.fleet.startHost(host)));
+    await load("replaced", HOSTS, 4_000);
+    assertWithinLimit();
+});
+
+// Guards against loans that are counted twice when messages about them are lost or cut off.
+test("lost messages and broken links do not add up to more than the limit", async () => {
+    const directions = ["silent-to-client", "silent-to-server", "pass", "refuse"] as const;
+    for (const [round, mode] of directions.entries()) {
+        await load(`loss-skewed-${round}`, [round], 800);
+        faults.setPeerFault((opener, acceptor) =>
+            (opener + acceptor + round) % 2 === 0 ? { mode, delayMs: 150 } : { mode: "pass" }
+        );
+        await load(`loss-${round}`, HOSTS, 1_500);
+    }
+    assertWithinLimit();
+});
--- a/limits/src/shareLedger.ts
+++ b/limits/src/shareLedger.ts
@@ -1,3 +1,4 @@
+import { type DemandReport, demandReportSchema } from "./demandReport.js";
 import { type Loan, loanSchema } from "./loan.js";
 import type { LoanPartner } from "./loanPartner.js";
 import { type LoanRequest, loanRequestSchema } from "./loanRequest.js";
@@ -55,11 +56,11 @@
         return found;
     }
 
-    /** Requests and returns to send now, at most one message of each type for each owner. */
-    requests(partners: readonly LoanPartner[]): OutgoingLoanRequest[] {
+    /** Requests and returns to send now for some workspaces, all by default; at most one of each type for each owner. */
+    requests(partners: readonly LoanPartner[], names = Object.keys(this.opts.limits())): OutgoingLoanRequest[] {
         const asked = this.choose(partners);
         const messages = new Map<string, OutgoingLoanRequest>();
-        for (const name of Object.keys(this.opts.limits())) {
+        for (const name of names) {
             for (const [to, entry] of this.workspace(name)?.requests(asked) ?? []) {
                 const isReturn = entry.wantedTokens + entry.wantedCapacity === 0;
                 const type = isReturn ? "loan-return" : "loan-request";
@@ -72,6 +73,24 @@
         return [...messages.values()];
     }
 
+    /** What to tell all peers twice a second: the own share and the demand of the workspaces in use. */
+    demandReport(): DemandReport {
+        this.refreshShare();
+        const demands = [...this.workspaces].map(([name, { demand }]) => [name, demand.own] as const);
+        return { share: this.share, demands: Object.fromEntries(demands.filter(([, demand]) => demand > 0)) };
+    }
+
+    /** Takes a peer's report; one that is malformed is ignored. */
+    takeDemandReport(hostId: string, message: unknown): void {
+        const report = demandReportSchema.safeParse(message).data;
+        if (report === undefined) {
+            return;
+        }
+        for (const name of Object.keys(this.opts.limits())) {
+            this.workspace(name)?.demand.report(hostId, report.demands[name] ?? 0, report.share);
+        }
+    }
+
     /** Answers a `loan-request`; `undefined` for returns and for messages that are malformed or not for this process. */
     answer(from: LoanPartner, message: unknown): Loan | undefined {
         const request = loanRequestSchema.safeParse(message).data;
--- /dev/null
+++ b/limits/test/loanEnd.test.ts
@@ -0,0 +1,63 @@
+import { loanTerms, ShareLedger } from "@pistachioreel/limits";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+
+const RATE = 100;
+const BURST = 20;
+const ANSWER_MS = 230;
+
+/** An owner and a borrower with half of the limit each; the borrower gets one loan, whose answer takes a while. */
+function lendOnce() {
+    const clock = { time: 0 };
+    const place = (hostId: string) => ({ hostId, incarnation: hostId, availabilityZone: "a" });
+    const ledgerOf = (hostId: string) =>
+        new ShareLedger({
+            ...place(hostId),
+            view: { size: 2, ownsShare: () => true },
+            limits: () => ({ sheets: { rate: RATE, burst: BURST } }),
+            now: () => clock.time,
+            random: () => 0,
+        });
+    const [owner, borrower] = [ledgerOf("owner"), ledgerOf("borrower")];
+    const limit = borrower.workspace("sheets");
+    owner.workspace("sheets");
+    const wait = (durationMs: number) => {
+        for (const until = clock.time + durationMs; clock.time < until;) {
+            clock.time += 10;
+            borrower.workspace("sheets");
+        }
+    };
+    wait(loanTerms.reclaimAfterMs);
+    Array.from({ length: 100 }, () => limit?.demand.count());
+    const sentAt = clock.time;
+    const request = borrower.requests([place("owner")])[0]?.message;
+    wait(ANSWER_MS);
+    const answer = owner.answer(place("borrower"), request);
+    borrower.accept(place("owner"), answer);
+    return { clock, wait, borrower, limit, endsAt: sentAt + loanTerms.ttlMs };
+}
+
+// Guards against a borrower that counts the loan's end from the answer, which the owner does not know.
+test("a loan ends a fixed time after its request was sent", () => {
+    const { clock, wait, limit, endsAt } = lendOnce();
+    wait(endsAt - clock.time - 10);
+    assert.equal(limit?.holding.rate, RATE);
+    wait(10);
+    assert.equal(limit?.holding.rate, RATE / 2);
+});
+
+// Guards against a resumed process that refills at the rate of a loan that ended while it was paused.
+test("a loan that ends during a pause counts up to its end", () => {
+    const { clock, limit, endsAt } = lendOnce();
+    while (limit?.tryTake()) {
+        // Spends all tokens.
+    }
+    clock.time = endsAt - 10;
+    while (limit?.tryTake()) {
+        // Spends all tokens.
+    }
+    const before = limit?.tokens ?? 0;
+    clock.time = endsAt + 40;
+    const gained = (limit?.tokens ?? 0) - before;
+    assert.ok(Math.abs(gained - (0.01 * RATE + 0.04 * RATE / 2)) < 1e-6, `gained ${gained}`);
+});
--- /dev/null
+++ b/testing/src/countOverAdmitted.ts
@@ -0,0 +1,44 @@
+import type { CallerRecord } from "./callerRecord.js";
+import type { TargetRecord } from "./targetRecord.js";
+
+interface WindowLimit {
+    /** Requests per second. */
+    readonly rate: number;
+    readonly burst: number;
+}
+
+/** Both wall clocks are read in whole milliseconds. */
+const CLOCK_STEP_MS = 2;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Largest excess over `burst + rate * t` in any window of t seconds. A request was admitted between its sending by the
+ * caller and its first arrival at a target, so it counts in a window that contains both; no other allowance is made.
+ */
+export function countOverAdmitted(
+    callers: readonly CallerRecord[],
+    targets: readonly TargetRecord[],
+    { rate, burst }: WindowLimit,
+): number {
+    const sentAt = new Map(callers.map(record => [record.marker, record.sentAt]));
+    const arrivals = new Map<string, number>();
+    for (const { marker, event, time } of targets) {
+        if (event === "start" && sentAt.has(marker) && !arrivals.has(marker)) {
+            arrivals.set(marker, time);
+        }
+    }
+    const spans = [...arrivals].map(([marker, end]) => ({ start: sentAt.get(marker) ?? 0, end }));
+    spans.sort((first, second) => first.end - second.end);
+    let worst = 0;
+    for (const { start } of spans) {
+        let count = 0;
+        for (const span of spans) {
+            if (span.start >= start) {
+                count++;
+                const allowed = burst + rate * (span.end - start + CLOCK_STEP_MS) / MS_PER_SECOND;
+                worst = Math.max(worst, count - allowed);
+            }
+        }
+    }
+    return Math.ceil(Math.max(0, worst));
+}
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -2,6 +2,7 @@
 export type { CallerRecord } from "./callerRecord.js";
 export { checkRecords } from "./checkRecords.js";
 export { ChildProgram } from "./childProgram.js";
+export { countOverAdmitted } from "./countOverAdmitted.js";
 export { type ConnectionFault, FaultProxy } from "./faultProxy.js";
 export { Fleet, type FleetTarget } from "./fleet.js";
 export { LoopbackNetwork } from "./loopbackNetwork.js";
