--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -12,6 +12,7 @@
 import { EntryMetrics } from "./entryMetrics.js";
 import { FleetState } from "./fleetState.js";
 import { pollHostList } from "./hostListPoll.js";
+import { ListShares } from "./listShares.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
@@ -34,6 +35,7 @@
     private readonly callers: CallerListener;
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
+    private readonly admission: WorkspaceAdmission;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -83,9 +85,17 @@
             queue,
             now: monotonicNow,
         });
+        this.admission = new WorkspaceAdmission({
+            identity: { hostId, incarnation, availabilityZone, region },
+            state,
+            view: new ListShares(state, hostId),
+            mesh: this.mesh,
+            metrics,
+            now: monotonicNow,
+        });
         this.callers = new CallerListener({
             ...shared,
-            admission: new WorkspaceAdmission(state, monotonicNow),
+            admission: this.admission,
             delivery: this.delivery,
             now: monotonicNow,
         });
@@ -119,6 +129,7 @@
         await listen(this.callers.server, callers);
         const { store, state, logger } = this;
         const { signal } = this.stopping;
+        this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         void this.sweep.run(signal);
