Add a table of client blocks with longest prefix match

Cause: lookups need the site of a caller's address over 1.9 million blocks, and nothing in the repository could find it.

--- /dev/null
+++ b/lookup/src/blockList.ts
@@ -0,0 +1,129 @@
+import type { AddressWords } from "./parseAddress.js";
+
+/** Number of 32-bit words in an address of a family. */
+export type WordCount = 1 | 4;
+
+const INITIAL_CAPACITY = 1_024;
+
+/** Client blocks of one address family in columns, sorted by start and then by length. */
+export class BlockList {
+    /** Site of each index in `siteAt`. */
+    readonly sites: string[] = [];
+    private readonly siteIndexes = new Map<string, number>();
+    private starts: Uint32Array;
+    private lengths = new Uint8Array(INITIAL_CAPACITY);
+    private siteColumn = new Uint16Array(INITIAL_CAPACITY);
+    private count = 0;
+
+    constructor(readonly wordCount: WordCount) {
+        this.starts = new Uint32Array(INITIAL_CAPACITY * wordCount);
+    }
+
+    get size(): number {
+        return this.count;
+    }
+
+    /** Adds a block; `sort` must follow unless blocks are added in order. */
+    add(address: AddressWords, length: number, site: string): void {
+        if (this.count === this.lengths.length) {
+            this.resize(this.count * 2);
+        }
+        for (let word = 0; word < this.wordCount; word++) {
+            this.starts[this.count * this.wordCount + word] = address[word] as number;
+        }
+        this.lengths[this.count] = length;
+        this.siteColumn[this.count] = this.siteIndexOf(site);
+        this.count++;
+    }
+
+    /** Word of the first address of a block. */
+    wordAt(block: number, word: number): number {
+        return this.starts[block * this.wordCount + word] as number;
+    }
+
+    lengthAt(block: number): number {
+        return this.lengths[block] as number;
+    }
+
+    siteAt(block: number): number {
+        return this.siteColumn[block] as number;
+    }
+
+    /** Negative if the first block comes first, 0 if both are the same prefix. */
+    compare(first: number, second: number): number {
+        for (let word = 0; word < this.wordCount; word++) {
+            const difference = this.wordAt(first, word) - this.wordAt(second, word);
+            if (difference !== 0) {
+                return difference;
+            }
+        }
+        return this.lengthAt(first) - this.lengthAt(second);
+    }
+
+    /** Sorts the blocks and returns the old index of each, so that callers can name the source of a block. */
+    sort(): Uint32Array {
+        const order = Uint32Array.from({ length: this.count }, (_, index) => index);
+        // Exports are usually sorted already; the check is far cheaper than the sort.
+        if (!this.isSorted()) {
+            order.sort((first, second) => this.compare(first, second) || first - second);
+            this.reorder(order);
+        }
+        return order;
+    }
+
+    /** The blocks at the given indexes, in that order. */
+    pick(indexes: Uint32Array): BlockList {
+        const picked = new BlockList(this.wordCount);
+        const address: number[] = new Array<number>(this.wordCount).fill(0);
+        for (const index of indexes) {
+            for (let word = 0; word < this.wordCount; word++) {
+                address[word] = this.wordAt(index, word);
+            }
+            picked.add(address, this.lengthAt(index), this.sites[this.siteAt(index)] as string);
+        }
+        return picked;
+    }
+
+    private isSorted(): boolean {
+        for (let block = 1; block < this.count; block++) {
+            if (this.compare(block - 1, block) > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private reorder(order: Uint32Array): void {
+        const { starts, lengths, siteColumn, wordCount } = this;
+        this.starts = new Uint32Array(this.count * wordCount);
+        this.lengths = new Uint8Array(this.count);
+        this.siteColumn = new Uint16Array(this.count);
+        order.forEach((from, to) => {
+            for (let word = 0; word < wordCount; word++) {
+                this.starts[to * wordCount + word] = starts[from * wordCount + word] as number;
+            }
+            this.lengths[to] = lengths[from] as number;
+            this.siteColumn[to] = siteColumn[from] as number;
+        });
+    }
+
+    private resize(capacity: number): void {
+        const { starts, lengths, siteColumn } = this;
+        this.starts = new Uint32Array(capacity * this.wordCount);
+        this.starts.set(starts);
+        this.lengths = new Uint8Array(capacity);
+        this.lengths.set(lengths);
+        this.siteColumn = new Uint16Array(capacity);
+        this.siteColumn.set(siteColumn);
+    }
+
+    private siteIndexOf(site: string): number {
+        const known = this.siteIndexes.get(site);
+        if (known !== undefined) {
+            return known;
+        }
+        this.siteIndexes.set(site, this.sites.length);
+        this.sites.push(site);
+        return this.sites.length - 1;
+    }
+}
--- /dev/null
+++ b/lookup/src/blockPart.ts
@@ -0,0 +1,26 @@
+import type { BlockList, WordCount } from "./blockList.js";
+import type { AddressWords } from "./parseAddress.js";
+import type { BlockGroup } from "./partitionBlocks.js";
+import { RangeTable } from "./rangeTable.js";
+
+/** One part of the map, ready for lookups. Immutable; unchanged parts are shared by successive tables. */
+export class BlockPart {
+    readonly wordCount: WordCount;
+    readonly isWide: boolean;
+    readonly blockCount: number;
+    /** First address of the first block. */
+    readonly start: AddressWords;
+    readonly ranges: RangeTable;
+
+    constructor({ blocks, isWide }: BlockGroup) {
+        this.wordCount = blocks.wordCount;
+        this.isWide = isWide;
+        this.blockCount = blocks.size;
+        this.start = startOf(blocks);
+        this.ranges = new RangeTable(blocks);
+    }
+}
+
+function startOf(blocks: BlockList): AddressWords {
+    return Array.from({ length: blocks.wordCount }, (_, word) => blocks.wordAt(0, word));
+}
--- /dev/null
+++ b/lookup/src/blockTable.ts
@@ -0,0 +1,63 @@
+import type { WordCount } from "./blockList.js";
+import type { BlockPart } from "./blockPart.js";
+import { findLastStart } from "./findLastStart.js";
+import { type AddressWords, parseAddress } from "./parseAddress.js";
+import type { RangeTable } from "./rangeTable.js";
+
+interface FamilyTable {
+    readonly wordCount: WordCount;
+    /** First address of each part. */
+    readonly starts: Uint32Array;
+    readonly parts: readonly RangeTable[];
+    readonly wide: RangeTable | undefined;
+}
+
+/** Longest prefix match of client addresses over a set of parts. Immutable, so that a new map is swapped atomically. */
+export class BlockTable {
+    private readonly ipv4: FamilyTable;
+    private readonly ipv6: FamilyTable;
+    /** Number of blocks in all parts. */
+    readonly blockCount: number;
+
+    constructor(parts: readonly BlockPart[]) {
+        this.ipv4 = familyTable(parts, 1);
+        this.ipv6 = familyTable(parts, 4);
+        this.blockCount = parts.reduce((sum, part) => sum + part.blockCount, 0);
+    }
+
+    /** Bytes of all arrays. */
+    get bytes(): number {
+        return [this.ipv4, this.ipv6].reduce((sum, { starts, parts, wide }) => {
+            return sum + starts.byteLength + (wide?.bytes ?? 0) + parts.reduce((all, part) => all + part.bytes, 0);
+        }, 0);
+    }
+
+    /** Site of the longest block that holds the address; `undefined` if there is none or the text is no address. */
+    find(text: string): string | undefined {
+        const address = parseAddress(text);
+        return address && this.findWords(address);
+    }
+
+    /** Like `find`, for a parsed address. */
+    findWords(address: AddressWords): string | undefined {
+        const { starts, parts, wide, wordCount } = address.length === 1 ? this.ipv4 : this.ipv6;
+        const index = findLastStart(starts, wordCount, address);
+        return parts[index]?.find(address) ?? wide?.find(address);
+    }
+}
+
+function familyTable(all: readonly BlockPart[], wordCount: WordCount): FamilyTable {
+    const ofFamily = all.filter(part => part.wordCount === wordCount);
+    const narrow = ofFamily.filter(part => !part.isWide).sort((a, b) => compareStarts(a.start, b.start));
+    return {
+        wordCount,
+        starts: Uint32Array.from(narrow.flatMap(part => part.start)),
+        parts: narrow.map(part => part.ranges),
+        wide: ofFamily.find(part => part.isWide)?.ranges,
+    };
+}
+
+function compareStarts(first: AddressWords, second: AddressWords): number {
+    const word = first.findIndex((value, index) => value !== second[index]);
+    return word < 0 ? 0 : (first[word] as number) - (second[word] as number);
+}
--- /dev/null
+++ b/lookup/src/findLastStart.ts
@@ -0,0 +1,41 @@
+import type { AddressWords } from "./parseAddress.js";
+
+/** Index of the last entry of sorted `starts` (of `stride` words each) that is not above the address; -1 if none. */
+export function findLastStart(starts: Uint32Array, stride: number, address: AddressWords): number {
+    return stride === 1 ? findWord(starts, address[0] as number) : findWords(starts, stride, address);
+}
+
+function findWord(starts: Uint32Array, address: number): number {
+    let low = 0;
+    let high = starts.length;
+    while (low < high) {
+        const middle = (low + high) >>> 1;
+        if ((starts[middle] as number) <= address) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low - 1;
+}
+
+function findWords(starts: Uint32Array, stride: number, address: AddressWords): number {
+    let low = 0;
+    let high = starts.length / stride;
+    while (low < high) {
+        const middle = (low + high) >>> 1;
+        const offset = middle * stride;
+        let word = 0;
+        while (word < stride - 1 && starts[offset + word] === address[word]) {
+            word++;
+        }
+        if ((starts[offset + word] as number) <= (address[word] as number)) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low - 1;
+}
