--- /dev/null
+++ b/bench/src/lookupCapacity.ts
@@ -0,0 +1,130 @@
+import { LookupAnswer } from "@pistachioreel/entry";
+import { BlockTable, decodePart, encodePart, partitionBlocks } from "@pistachioreel/lookup";
+import { type LinearFit, linearFit } from "./linearFit.js";
+import { randomBlocks } from "./randomBlocks.js";
+
+interface LookupCapacityOptions {
+    readonly blockCounts: readonly number[];
+    readonly ipv6Share: number;
+    readonly hosts: number;
+}
+
+interface LookupPoint {
+    readonly blocks: number;
+    readonly parts: number;
+    readonly tableBytes: number;
+    readonly storedBytes: number;
+    /** List of parts and largest part: what a change of one block moves to each host. */
+    readonly changeBytes: number;
+    readonly encodeMs: number;
+    /** Decoding and building of all parts, as a host does at its start. */
+    readonly loadMs: number;
+    readonly longestPartMs: number;
+    readonly ipv4PerSecond: number;
+    readonly ipv6PerSecond: number;
+    /** Whole answers, from the text of the address to JSON. */
+    readonly answersPerSecond: number;
+}
+
+export interface LookupCapacity {
+    readonly points: readonly LookupPoint[];
+    readonly tableBytes: LinearFit;
+    readonly storedBytes: LinearFit;
+    readonly loadMs: LinearFit;
+}
+
+const SITES = 59;
+const ZONES = 24;
+const SEED = 20_261;
+const PROBES = 2 ** 16;
+const LOOKUPS = 500_000;
+const BYTES_PER_LISTED_DIGEST = 46;
+const ROUNDS = 3;
+
+/** Block table and answers in this process, at several sizes of the map. */
+export function measureLookup(opts: LookupCapacityOptions): LookupCapacity {
+    const points = opts.blockCounts.map(count => measurePoint(count, opts));
+    const fit = (value: (point: LookupPoint) => number) => linearFit(points.map(point => [point.blocks, value(point)]));
+    return {
+        points,
+        tableBytes: fit(point => point.tableBytes),
+        storedBytes: fit(point => point.storedBytes),
+        loadMs: fit(point => point.loadMs),
+    };
+}
+
+function measurePoint(count: number, { ipv6Share, hosts }: LookupCapacityOptions): LookupPoint {
+    const lists = randomBlocks(count, { sites: SITES, ipv6Share, seed: SEED });
+    const encodeAt = performance.now();
+    const encoded = lists.flatMap(list => partitionBlocks(list)).map(encodePart);
+    const encodeMs = performance.now() - encodeAt;
+    const loadAt = performance.now();
+    let longestPartMs = 0;
+    const parts = encoded.map(({ digest, text }) => {
+        const partAt = performance.now();
+        const part = decodePart(digest, text)._unsafeUnwrap();
+        longestPartMs = Math.max(longestPartMs, performance.now() - partAt);
+        return part;
+    });
+    const table = new BlockTable(parts);
+    const loadMs = performance.now() - loadAt;
+    const [ipv4, ipv6] = [probesOf(ipv4Text), probesOf(ipv6Text)];
+    const answer = new LookupAnswer(answerOptions(table, hosts));
+    const text = encoded.map(part => part.text.length);
+    return {
+        blocks: count,
+        parts: encoded.length,
+        tableBytes: table.bytes,
+        storedBytes: text.reduce((sum, bytes) => sum + bytes, 0),
+        changeBytes: Math.max(...text) + encoded.length * BYTES_PER_LISTED_DIGEST,
+        encodeMs,
+        loadMs,
+        longestPartMs,
+        ipv4PerSecond: rateOf(index => table.find(ipv4[index] as string)),
+        ipv6PerSecond: rateOf(index => table.find(ipv6[index] as string)),
+        answersPerSecond: rateOf(index => JSON.stringify(answer.answer(ipv4[index], undefined)._unsafeUnwrap())),
+    };
+}
+
+function answerOptions(blockTable: BlockTable, count: number): ConstructorParameters<typeof LookupAnswer>[0] {
+    const hosts = Array.from({ length: count }, (_, index) => ({
+        id: `host-${index}`,
+        callers: `10.1.${index >> 8}.${index & 255}:7001`,
+        peers: "",
+        admin: "",
+        availabilityZone: `zone-${index % ZONES}`,
+        region: `region-${index % ZONES % 9}`,
+        state: "live" as const,
+    }));
+    const sites = Object.fromEntries(Array.from({ length: SITES }, (_, site) => [
+        `site-${site}`,
+        { availabilityZones: [`zone-${site % ZONES}`, `zone-${(site + 1) % ZONES}`], regions: [`region-${site % 9}`] },
+    ]));
+    const configuration = { rules: { sites } } as never;
+    return { availabilityZone: "zone-0", region: "region-0", state: { hosts, blockTable, configuration } };
+}
+
+function probesOf(text: () => string): string[] {
+    return Array.from({ length: PROBES }, text);
+}
+
+function ipv4Text(): string {
+    return Array.from({ length: 4 }, () => Math.floor(Math.random() * 256)).join(".");
+}
+
+function ipv6Text(): string {
+    const groups = Array.from({ length: 7 }, () => Math.floor(Math.random() * 65_536).toString(16));
+    return [(0x2000 + Math.floor(Math.random() * 0x2000)).toString(16), ...groups].join(":");
+}
+
+/** Median of a few rounds, in calls per second. */
+function rateOf(call: (probe: number) => unknown): number {
+    const rates = Array.from({ length: ROUNDS }, () => {
+        const startedAt = performance.now();
+        for (let index = 0; index < LOOKUPS; index++) {
+            call(index % PROBES);
+        }
+        return Math.round(LOOKUPS / (performance.now() - startedAt) * 1_000);
+    });
+    return rates.sort((a, b) => a - b)[Math.floor(ROUNDS / 2)] as number;
+}
--- a/cli/src/program.ts
+++ b/cli/src/program.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Command, CommandInput } from "./command.js";
 import { apply } from "./commands/apply.js";
+import { blocks } from "./commands/blocks.js";
 import { diff } from "./commands/diff.js";
 import { drain } from "./commands/drain.js";
 import { entry } from "./commands/entry.js";
@@ -21,7 +22,7 @@
 
 const PROGRAM = "pistachioreel";
 const VERSION = "0.1.0";
-const commands: readonly Command[] = [entry, validate, diff, apply, key, drain, status, lookup, timeline];
+const commands: readonly Command[] = [entry, validate, diff, apply, blocks, key, drain, status, lookup, timeline];
 
 /** Runs the program with its arguments. */
 export async function runProgram(args: readonly string[]): Promise<ProgramOutput> {
--- a/config/src/index.ts
+++ b/config/src/index.ts
@@ -2,6 +2,7 @@
 export type { ConfigurationChange } from "./configurationChange.js";
 export { diffConfigurations } from "./diffConfigurations.js";
 export type { Target } from "./inventory.js";
+export { parseBlockMap } from "./parseBlockMap.js";
 export { parseInventory } from "./parseInventory.js";
 export { parseRules } from "./parseRules.js";
 export { parseSettings } from "./parseSettings.js";
--- /dev/null
+++ b/config/src/parseBlockMap.ts
@@ -0,0 +1,136 @@
+import { BlockList, parseBlock } from "@pistachioreel/lookup";
+import type { Failure } from "@pistachioreel/result-code";
+import { CsvError, type Info, parse } from "csv-parse/sync";
+import { err, ok, type Result } from "neverthrow";
+import { fieldFailure } from "./fieldFailure.js";
+
+interface BlockMap {
+    /** Sorted. */
+    readonly ipv4: BlockList;
+    readonly ipv6: BlockList;
+}
+
+interface BlockMapOptions {
+    /** Sites of the rules; other sites are failures. All are accepted if absent. */
+    readonly sites?: readonly string[];
+}
+
+interface FamilyColumns {
+    readonly blocks: BlockList;
+    /** Line of each block, in the order of the file. */
+    readonly lines: number[];
+}
+
+const COLUMNS = ["block", "site"] as const;
+/** A wrong export can have a fault in each of two million lines. */
+const MAX_FAILURES = 100;
+
+/**
+ * Parses the map of client blocks: CSV with the columns `block` (CIDR) and `site`. Other columns are ignored.
+ *
+ * @param file Name for error messages.
+ * @returns The blocks, or the first 100 failures with their places.
+ */
+export function parseBlockMap(file: string, text: string, opts: BlockMapOptions = {}): Result<BlockMap, Failure[]> {
+    const header = text.slice(text.startsWith("\ufeff") ? 1 : 0, text.search(/\r?\n|$/)).split(",");
+    const columns = header.map(column => column.trim().replace(/^"(.*)"$/, "$1"));
+    const missing = COLUMNS.filter(column => !columns.includes(column));
+    if (missing.length > 0) {
+        return err(missing.map(column => missingColumn(file, column, columns)));
+    }
+    const reader = new BlockMapReader(file, columns, opts.sites && new Set(opts.sites));
+    const syntax = readRows(file, text, (row, line) => reader.take(row, line));
+    return syntax.isErr() ? err([syntax.error]) : reader.finish();
+}
+
+type Row = Record<(typeof COLUMNS)[number], string>;
+
+function readRows(file: string, text: string, take: (row: Row, line: number) => void): Result<void, Failure> {
+    try {
+        parse(text, {
+            bom: true,
+            columns: true,
+            info: true,
+            skip_empty_lines: true,
+            trim: true,
+            // Rows that are not kept save a gigabyte at two million blocks.
+            on_record: (row: unknown) => {
+                const { record, info } = row as { record: Row; info: Info; };
+                take(record, info.lines);
+                return undefined;
+            },
+        });
+        return ok(undefined);
+    }
+    catch (error) {
+        const line = error instanceof CsvError && typeof error["lines"] === "number" ? error["lines"] : 1;
+        const found = error instanceof Error ? error.message : String(error);
+        const accepted = "CSV with a header";
+        return err(fieldFailure("syntaxInvalid", { file, line, column: 1, field: "row", found, accepted }));
+    }
+}
+
+class BlockMapReader {
+    private readonly failures: Failure[] = [];
+    private readonly families: Record<1 | 4, FamilyColumns> = {
+        1: { blocks: new BlockList(1), lines: [] },
+        4: { blocks: new BlockList(4), lines: [] },
+    };
+
+    constructor(
+        private readonly file: string,
+        private readonly columns: readonly string[],
+        private readonly sites: ReadonlySet<string> | undefined,
+    ) {}
+
+    take({ block: text, site }: Row, line: number): void {
+        const block = parseBlock(text);
+        if (block === undefined) {
+            const accepted = "an IPv4 or IPv6 block such as 192.0.2.0/24, with no bits set past its length";
+            this.fail("fieldInvalid", line, "block", text, accepted);
+            return;
+        }
+        if (site === "") {
+            this.fail("fieldInvalid", line, "site", site, "the name of a site");
+            return;
+        }
+        if (this.sites !== undefined && !this.sites.has(site)) {
+            this.fail("referenceUnknown", line, "site", site, "a site of the `sites` section of the rules in force");
+            return;
+        }
+        const family = this.families[block.address.length as 1 | 4];
+        family.blocks.add(block.address, block.length, site);
+        family.lines.push(line);
+    }
+
+    finish(): Result<BlockMap, Failure[]> {
+        Object.values(this.families).forEach(family => this.sort(family));
+        const [ipv4, ipv6] = [this.families[1].blocks, this.families[4].blocks];
+        return this.failures.length > 0 ? err(this.failures) : ok({ ipv4, ipv6 });
+    }
+
+    private sort({ blocks, lines }: FamilyColumns): void {
+        const order = blocks.sort();
+        for (let block = 1; block < blocks.size; block++) {
+            if (blocks.compare(block - 1, block) === 0) {
+                const [first, second] = [order[block - 1], order[block]].map(index => lines[index as number] as number);
+                const found = `the block of line ${first} again`;
+                this.fail("duplicateEntry", second as number, "block", found, "each block once");
+            }
+        }
+    }
+
+    private fail(code: Failure["code"], line: number, field: string, found: string, accepted: string): void {
+        if (this.failures.length < MAX_FAILURES) {
+            const place = { file: this.file, line, column: this.columns.indexOf(field) + 1 };
+            const quoted = code === "duplicateEntry" ? found : JSON.stringify(found);
+            this.failures.push(fieldFailure(code, { ...place, field, found: quoted, accepted }));
+        }
+    }
+}
+
+function missingColumn(file: string, column: string, columns: readonly string[]): Failure {
+    const found = `the columns ${columns.join(", ")}`;
+    const accepted = `a column named ${column}`;
+    return fieldFailure("fieldMissing", { file, line: 1, column: 1, field: column, found, accepted });
+}
--- a/config/src/parseRules.ts
+++ b/config/src/parseRules.ts
@@ -48,6 +48,11 @@
         const supplied = [...new Set(targets.map(target => target.service))];
         Object.keys(rules.regions).forEach(region => check(["regions", region], region, regions));
         services.forEach(service => check(["services", service], service, supplied));
+        const zones = [...new Set(targets.map(target => target.availabilityZone))];
+        Object.entries(rules.sites).forEach(([site, { availabilityZones, regions: near }]) => {
+            availabilityZones.forEach((zone, index) => check(["sites", site, "availabilityZones", index], zone, zones));
+            near.forEach((region, index) => check(["sites", site, "regions", index], region, regions));
+        });
         rules.links.forEach((link, index) => {
             check(["links", index, "from"], link.from, regions);
             check(["links", index, "to"], link.to, regions);
--- a/config/src/rules.ts
+++ b/config/src/rules.ts
@@ -51,6 +51,14 @@
             maxRunning: z.number().int().positive(),
         }),
     ).default({}),
+    /** Where callers of a site go, best first; zones before regions. Blocks of the map name the sites. */
+    sites: z.record(
+        name,
+        z.strictObject({
+            availabilityZones: z.array(name).default([]),
+            regions: z.array(name).default([]),
+        }),
+    ).default({}),
     links: z.array(z.strictObject({ from: name, to: name, capBitsPerSecond: z.number().positive() })).default([]),
     shift: z.strictObject({
         /** Largest share of the traffic that may move within one interval. */
--- a/documents/src/fleetDocument.ts
+++ b/documents/src/fleetDocument.ts
@@ -14,7 +14,7 @@
 
 /** Schema of a document as hosts hold it and pass it on. */
 export const fleetDocumentSchema = documentPointerSchema.pick({ version: true, digest: true }).extend({
-    name: z.enum(["config", "keys", "plan", "roster"]),
+    name: z.enum(["config", "keys", "plan", "roster", "blocks"]),
     content: z.string(),
 });
 
--- a/documents/src/index.ts
+++ b/documents/src/index.ts
@@ -1,3 +1,4 @@
+export { BlockMapRepository } from "./blockMapRepository.js";
 export { digestContent } from "./digestContent.js";
 export type { DocumentName } from "./documentName.js";
 export { DocumentReplica } from "./documentReplica.js";
--- a/entry/src/adminListener.ts
+++ b/entry/src/adminListener.ts
@@ -50,7 +50,7 @@
 }
 
 function updateGauges({ metrics, state, store }: AdminListenerOptions): void {
-    for (const document of ["config", "keys", "plan", "roster"] as const) {
+    for (const document of ["config", "keys", "plan", "roster", "blocks"] as const) {
         metrics.documentVersion.set({ document }, state.versionOf(document));
     }
     for (const [kind, calls] of Object.entries(store.calls)) {
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,6 +1,5 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
-import { EntryHostRanking } from "@pistachioreel/lookup";
 import { Failure } from "@pistachioreel/result-code";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
@@ -8,17 +7,17 @@
 import type { Duplex } from "node:stream";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { FleetState } from "./fleetState.js";
+import type { LookupAnswer } from "./lookupAnswer.js";
 import { refuse } from "./refuse.js";
 import type { WorkspaceAdmission } from "./workspaceAdmission.js";
 
 interface CallerListenerOptions {
     readonly hostId: string;
-    readonly availabilityZone: string;
-    readonly region: string;
     readonly incarnation: string;
     readonly state: FleetState;
     readonly admission: WorkspaceAdmission;
     readonly delivery: Delivery;
+    readonly lookup: LookupAnswer;
     readonly metrics: EntryMetrics;
     readonly timeline: Timeline;
     readonly now: () => number;
@@ -32,7 +31,6 @@
 }
 
 const LOOKUP_PATH = "/v1/lookup";
-const LOOKUP_LIFETIME_SECONDS = 10;
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -71,7 +69,7 @@
             response.setHeader("connection", "close");
         }
         if (request.method === "GET" && pathOf(request) === LOOKUP_PATH) {
-            this.answerLookup(response);
+            this.answerLookup(request, response);
             return;
         }
         const id = `${this.opts.hostId}-${this.opts.incarnation}-${++this.sequence}`;
@@ -186,19 +184,29 @@
         });
     }
 
-    private answerLookup(response: ServerResponse): void {
-        const { state, availabilityZone, region } = this.opts;
-        const hosts = new EntryHostRanking(state.hosts).rank({ availabilityZone, region });
-        const body = JSON.stringify({ hosts, lifetimeSeconds: LOOKUP_LIFETIME_SECONDS });
+    private answerLookup(request: IncomingMessage, response: ServerResponse): void {
+        const answer = this.opts.lookup.answer(clientOf(request), request.socket.remoteAddress);
+        if (answer.isErr()) {
+            refuse(response, answer.error);
+            return;
+        }
+        const body = JSON.stringify(answer.value);
         response.writeHead(200, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(body),
-            "cache-control": `max-age=${LOOKUP_LIFETIME_SECONDS}`,
+            // The answer depends on the caller's address, so shared caches must not keep it.
+            "cache-control": `private, max-age=${answer.value.lifetimeSeconds}`,
         });
         response.end(body);
     }
 }
 
+/** The `client` parameter of a lookup. */
+function clientOf(request: IncomingMessage): string | undefined {
+    const [, query] = (request.url ?? "").split("?", 2);
+    return query === undefined ? undefined : new URLSearchParams(query).get("client") ?? undefined;
+}
+
 function pathOf(request: IncomingMessage): string {
     return (request.url ?? "/").split("?", 1)[0] as string;
 }
--- a/entry/src/documentWatch.ts
+++ b/entry/src/documentWatch.ts
@@ -13,7 +13,7 @@
     readonly signal: AbortSignal;
 }
 
-const WATCHED: readonly DocumentName[] = ["config", "keys", "plan", "roster"];
+const WATCHED: readonly DocumentName[] = ["config", "keys", "plan", "roster", "blocks"];
 const WATCH_WAIT_MS = 5_000;
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 3_000;
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -7,11 +7,14 @@
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
+import { BlockMapFollower } from "./blockMapFollower.js";
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { FleetState } from "./fleetState.js";
+import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
+import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
@@ -53,8 +56,15 @@
             now: monotonicNow,
         });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        const fitness = new HostFitness({
+            hostId,
+            mesh: this.mesh,
+            now: monotonicNow,
+            isLeaving: () => this.leaving,
+        });
         this.callers = new CallerListener({
             ...shared,
+            lookup: new LookupAnswer({ ...shared, unfitHosts: () => fitness.unfitHosts() }),
             admission: new WorkspaceAdmission(state, monotonicNow),
             delivery: new Delivery({
                 pools: this.pools,
@@ -94,6 +104,7 @@
         const { store, state, logger } = this;
         const { signal } = this.stopping;
         void new DocumentWatch({ store, state, logger, signal }).run();
+        void new BlockMapFollower({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         this.logger.info({
             event: "host-started",
@@ -105,6 +116,7 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
+        this.mesh.beat();
         const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
--- a/entry/src/fleetState.ts
+++ b/entry/src/fleetState.ts
@@ -1,6 +1,7 @@
 import { Configuration } from "@pistachioreel/config";
 import { type DocumentName, DocumentReplica, type FleetDocument } from "@pistachioreel/documents";
 import { KeyLedger, KeyVerifier } from "@pistachioreel/keys";
+import type { BlockTable } from "@pistachioreel/lookup";
 import type { ListedHost } from "@pistachioreel/platform-store";
 import type { Failure } from "@pistachioreel/result-code";
 import { ok, type Result } from "neverthrow";
@@ -11,6 +12,8 @@
 export class FleetState {
     /** Hosts of the platform's list, which lags behind. */
     hosts: readonly ListedHost[] = [];
+    /** Client blocks in force; `undefined` until a map has been read. */
+    blockTable: BlockTable | undefined;
     private readonly replica = new DocumentReplica();
     private readonly listeners: ChangeListener[] = [];
     private currentConfiguration: Configuration | undefined;
--- /dev/null
+++ b/entry/test/lookup.test.ts
@@ -0,0 +1,138 @@
+import { Fleet, type LoopbackNetwork } from "@pistachioreel/testing";
+import assert from "node:assert/strict";
+import { readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+
+const PLACES = [["tbilisi-a", "tbilisi"], ["kutaisi-a", "kutaisi"], ["batumi-a", "batumi"]] as const;
+const SITES = { west: { availabilityZones: ["batumi-a", "kutaisi-a"] }, east: { regions: ["kutaisi"] } };
+/** Enough blocks for more parts than a host reads at once. */
+const BLOCKS = 60_000;
+let fleet: Fleet;
+
+function targetsOf(network: LoopbackNetwork) {
+    return ["schedule", "signature", "documents"].flatMap((service, group) =>
+        PLACES.map(([availabilityZone, region], index) => {
+            return {
+                address: network.address(2, group * 3 + index),
+                port: 8080,
+                availabilityZone,
+                region,
+                service,
+                slots: 4,
+            };
+        })
+    );
+}
+
+before(async () => {
+    const rules = readFileSync("examples/sakartvelo/rules.jsonc", "utf8");
+    fleet = await Fleet.start({
+        hosts: PLACES.map(([availabilityZone, region]) => ({ availabilityZone, region })),
+        targets: targetsOf,
+        rules: rules.replace('"workspaces": {', `"sites": ${JSON.stringify(SITES)}, "workspaces": {`),
+    });
+});
+
+after(() => fleet?.stop());
+
+interface Answer {
+    readonly status: number;
+    readonly cacheControl: string;
+    readonly body: { readonly hosts: string[]; readonly site?: string; readonly code?: number; };
+}
+
+async function lookup(client?: string, host = 0): Promise<Answer> {
+    const query = client === undefined ? "" : `?client=${encodeURIComponent(client)}`;
+    const { statusCode: status, headers, body } = await request(`http://${fleet.callersOf(host)}/v1/lookup${query}`);
+    const cacheControl = String(headers["cache-control"]);
+    return { status, cacheControl, body: await body.json() as Answer["body"] };
+}
+
+async function publish(site: string): Promise<{ parts: number; writtenParts: number; }> {
+    const rows = Array.from({ length: BLOCKS }, (_, block) => `10.${block >> 8}.${block & 255}.0/24,${site}`);
+    const file = join(fleet.directory, "blocks.csv");
+    writeFileSync(file, ["block,site", ...rows, "2001:db8::/32,east"].join("\n"));
+    return JSON.parse(await fleet.operate("blocks", "--map", file, "--json")) as {
+        parts: number;
+        writtenParts: number;
+    };
+}
+
+async function waitFor(description: string, timeoutMs: number, isTrue: () => Promise<boolean>): Promise<void> {
+    const deadline = Date.now() + timeoutMs;
+    while (!await isTrue()) {
+        assert.ok(Date.now() < deadline, description);
+        await sleep(20);
+    }
+}
+
+test("without a map, an answer starts with the zone of the host that was asked, and caches hold it 10 s", async () => {
+    for (const index of [0, 1, 2]) {
+        const { status, cacheControl, body } = await lookup("10.0.0.1", index);
+        assert.deepEqual([status, cacheControl], [200, "private, max-age=10"]);
+        assert.equal(body.hosts[0], fleet.callersOf(index));
+        assert.equal(body.hosts.length, 3);
+    }
+});
+
+test("a client that is not an address is refused with its result code", async () => {
+    const { status, body } = await lookup("10.0.0");
+    assert.deepEqual([status, body.code], [400, 3030]);
+});
+
+test("a map with an unknown site is refused and changes nothing", async () => {
+    await assert.rejects(publish("wst"), (error: { stdout?: string; }) => {
+        const { failures } = JSON.parse(error.stdout ?? "{}") as { failures: { number: number; }[]; };
+        return failures.length === 100 && failures.every(failure => failure.number === 1005);
+    });
+    assert.equal((await lookup("10.0.0.1")).body.site, undefined);
+});
+
+test("a published map is in force on all hosts within 14 s, and callers outside it still get an answer", async () => {
+    assert.ok((await publish("west")).parts >= 8);
+    for (const index of [0, 1, 2]) {
+        await waitFor("map in force", 14_000, async () => (await lookup("10.0.0.1", index)).body.site === "west");
+        const { hosts } = (await lookup("10.0.0.1", index)).body;
+        assert.deepEqual(hosts, [2, 1, 0].map(host => fleet.callersOf(host)));
+        const ipv6 = (await lookup("2001:db8::5", index)).body;
+        assert.deepEqual([ipv6.site, ipv6.hosts[0]], ["east", fleet.callersOf(1)]);
+        assert.equal((await lookup("192.0.2.1", index)).body.hosts[0], fleet.callersOf(index));
+        assert.equal((await lookup(undefined, index)).body.hosts[0], fleet.callersOf(index));
+    }
+});
+
+test("a map that changes while the store is slow and fails is never seen half-new", async () => {
+    const clients = ["10.0.0.1", "10.230.0.1"];
+    assert.ok((await publish("east")).writtenParts >= 8);
+    let fault = 0;
+    const faults = ["none", "down"] as const;
+    const changeFault = setInterval(() => {
+        void fleet.setStoreFault({ mode: faults[fault++ % 2], delayMs: 30 });
+    }, 100);
+    let mixed = 0;
+    await waitFor("map in force", 14_000, async () => {
+        // The first client's new site must never be followed by the second one's old site, in either order.
+        clients.reverse();
+        const [first, second] = [(await lookup(clients[0])).body.site, (await lookup(clients[1])).body.site];
+        mixed += first === "east" && second === "west" ? 1 : 0;
+        return first === "east" && second === "east";
+    }).finally(() => clearInterval(changeFault));
+    await fleet.setStoreFault({ mode: "none", delayMs: 0 });
+    assert.equal(mixed, 0);
+});
+
+test("a host that leaves or dies is not named a few seconds later, although the platform still lists it", async () => {
+    const names = async (index: number) => (await lookup("10.0.0.1")).body.hosts.includes(fleet.callersOf(index));
+    assert.ok(await names(1) && await names(2));
+    const left = fleet.hosts[1]?.end("SIGTERM");
+    await waitFor("the leaving host is still named", 3_000, async () => !await names(1));
+    await left;
+    await fleet.startHost(1);
+    await waitFor("the restarted host is not named", 6_000, () => names(1));
+    await fleet.hosts[2]?.end("SIGKILL");
+    await waitFor("the dead host is still named", 6_000, async () => !await names(2));
+    assert.ok(await names(0) && await names(1));
+});
--- /dev/null
+++ b/lookup/src/decodePart.ts
@@ -0,0 +1,48 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import { inflateRawSync } from "node:zlib";
+import { BlockList } from "./blockList.js";
+import { BlockPart } from "./blockPart.js";
+import { type PartHeader, partHeaderSchema } from "./partHeader.js";
+
+const BITS_PER_BYTE = 8;
+/** Far above the largest part; bounds the memory that a damaged value can take. */
+const MAX_COLUMN_BYTES = 16 * 1024 * 1024;
+
+/** Decodes a part and checks it against its digest. Failure: `documentDamaged`. */
+export function decodePart(digest: string, text: string): Result<BlockPart, Failure> {
+    try {
+        const end = text.indexOf("\n") + 1;
+        const line = text.slice(0, end);
+        const columns = inflateRawSync(Buffer.from(text.slice(end), "base64"), { maxOutputLength: MAX_COLUMN_BYTES });
+        if (createHash("sha256").update(line).update(columns).digest("base64url") !== digest) {
+            return err(new Failure("documentDamaged", `block part ${digest} does not match its digest`));
+        }
+        const header = partHeaderSchema.parse(JSON.parse(line));
+        return ok(new BlockPart({ isWide: header.wide, blocks: decodeColumns(header, columns) }));
+    }
+    catch (cause) {
+        return err(new Failure("documentDamaged", `block part ${digest} cannot be read`, { cause }));
+    }
+}
+
+function decodeColumns({ words, count, sites }: PartHeader, columns: Buffer): BlockList {
+    const blocks = new BlockList(words);
+    const start = Buffer.alloc(words * 4);
+    const address = new Array<number>(words).fill(0);
+    let next = 4 * count;
+    for (let block = 0; block < count; block++) {
+        const shared = columns.readUInt8(block);
+        const length = columns.readUInt8(count + block);
+        const bytes = Math.ceil(length / BITS_PER_BYTE);
+        start.fill(0, shared);
+        columns.copy(start, shared, next, next + bytes - shared);
+        next += bytes - shared;
+        for (let word = 0; word < words; word++) {
+            address[word] = start.readUInt32BE(word * 4);
+        }
+        blocks.add(address, length, sites[columns.readUInt16LE(2 * count + 2 * block)] as string);
+    }
+    return blocks;
+}
--- /dev/null
+++ b/lookup/test/entryHostRanking.test.ts
@@ -0,0 +1,47 @@
+import { EntryHostRanking } from "@pistachioreel/lookup";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+
+type Host = ConstructorParameters<typeof EntryHostRanking>[0][number];
+
+/** Four zones in two regions, `perZone` hosts in each. */
+function hosts(perZone: number, changes: (id: string) => Partial<Host> = () => ({})): Host[] {
+    return ["a-1", "a-2", "b-1", "b-2"].flatMap(availabilityZone =>
+        Array.from({ length: perZone }, (_, index): Host => {
+            const id = `${availabilityZone}.${index}`;
+            const region = availabilityZone.slice(0, 1);
+            return { id, callers: id, availabilityZone, region, state: "live", ...changes(id) };
+        })
+    );
+}
+
+const place = { availabilityZones: ["b-2", "b-1"], regions: ["b"] };
+
+test("zones come in the order of the place's preferences, then its regions, then the rest", () => {
+    const ranked = new EntryHostRanking(hosts(1)).rank(place);
+    assert.deepEqual(ranked.slice(0, 2), ["b-2.0", "b-1.0"]);
+    assert.deepEqual(ranked.slice(2).sort(), ["a-1.0", "a-2.0"]);
+});
+
+test("hosts that are leaving or overloaded are named only if nothing else is left", () => {
+    const leaving = (id: string): Partial<Host> => id === "b-2.0" ? { state: "leaving" } : {};
+    const unfit = new Set(["b-1.0"]);
+    assert.deepEqual(new EntryHostRanking(hosts(1, leaving), { unfit }).rank(place).sort(), ["a-1.0", "a-2.0"]);
+    const allUnfit = new Set(hosts(1).map(host => host.id));
+    assert.equal(new EntryHostRanking(hosts(1), { unfit: allUnfit }).rank(place).length, 4);
+});
+
+test("first places spread evenly over the nearest zone, and an answer survives the loss of that zone", () => {
+    const ranking = new EntryHostRanking(hosts(50));
+    const firsts = new Map<string, number>();
+    for (let call = 0; call < 10_000; call++) {
+        const answer = ranking.rank(place);
+        assert.equal(new Set(answer).size, 10);
+        assert.ok(answer.slice(0, 8).every(id => id.startsWith("b-2")));
+        assert.ok(answer.slice(8).every(id => id.startsWith("b-1")));
+        firsts.set(answer[0] as string, (firsts.get(answer[0] as string) ?? 0) + 1);
+    }
+    // 10,000 answers over 50 hosts: 200 each with a standard deviation of 14; 5 deviations bound the test.
+    assert.equal(firsts.size, 50);
+    assert.ok([...firsts.values()].every(count => count > 130 && count < 270), String([...firsts.values()]));
+});
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -100,6 +100,13 @@
     queueFull: code(3018, 503, "not run", "the queue of the workspace is full", "retry later"),
     headerTooLarge: code(3019, 431, "not run", "the request head is too large", "send fewer or shorter headers"),
     requestTimeout: code(3020, 408, "not run", "the request head did not arrive in time", "send the head faster"),
+    clientAddressInvalid: code(
+        3030,
+        400,
+        "not run",
+        "the client of a lookup is not an address",
+        "send an IPv4 or IPv6 address",
+    ),
 
     // 4xxx: requests that may have run
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
