--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -7,12 +7,15 @@
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
+import { BlockMapFollower } from "./blockMapFollower.js";
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { FleetState } from "./fleetState.js";
+import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
 import { ListShares } from "./listShares.js";
+import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
@@ -93,8 +96,15 @@
             metrics,
             now: monotonicNow,
         });
+        const fitness = new HostFitness({
+            hostId,
+            mesh: this.mesh,
+            now: monotonicNow,
+            isLeaving: () => this.leaving,
+        });
         this.callers = new CallerListener({
             ...shared,
+            lookup: new LookupAnswer({ ...shared, unfitHosts: () => fitness.unfitHosts() }),
             admission: this.admission,
             delivery: this.delivery,
             now: monotonicNow,
@@ -131,6 +141,7 @@
         const { signal } = this.stopping;
         this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
+        void new BlockMapFollower({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         void this.sweep.run(signal);
         this.logger.info({
@@ -143,6 +154,7 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
+        this.mesh.beat();
         const { drainTimeoutMs } = this.settings;
         const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
