--- /dev/null
+++ b/entry/src/hostSteering.ts
@@ -0,0 +1,79 @@
+import type { Target } from "@pistachioreel/config";
+import type { PeerIdentity, PeerMesh } from "@pistachioreel/peering";
+import { FairTargetQueue, LoadExchange, NearestLeastLoaded, SlotLedger, TargetLoads } from "@pistachioreel/steering";
+import type { FleetState } from "./fleetState.js";
+import { LoadPoll } from "./loadPoll.js";
+
+interface HostSteeringOptions {
+    readonly self: Omit<PeerIdentity, "incarnation">;
+    readonly state: FleetState;
+    readonly mesh: PeerMesh;
+    readonly localAddress: string;
+    readonly now: () => number;
+}
+
+/** Steering as one host wires it: queue, choice of target, exchange with peers and load polling. */
+export class HostSteering {
+    readonly queue: FairTargetQueue<Target>;
+    private readonly slots = new SlotLedger();
+    private readonly loads: TargetLoads;
+    private readonly exchange: LoadExchange;
+    private targetsById: ReadonlyMap<string, Target> = new Map();
+
+    constructor(private readonly opts: HostSteeringOptions) {
+        const { self, state, mesh, now } = opts;
+        const { slots } = this;
+        const loads = this.loads = new TargetLoads({ slots, now });
+        this.queue = new FairTargetQueue<Target>({
+            chooser: new NearestLeastLoaded({ ...self, loads }),
+            slots,
+            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+            freeSlots: targets => loads.freeSlots(targets.filter(({ region }) => region === self.region)),
+            weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
+            onDispatch: target => this.exchange.noteChange(target.id),
+            onOutcome: (target, outcome) => {
+                loads.recordOutcome(target, outcome);
+                this.exchange.noteChange(target.id);
+            },
+            now,
+        });
+        this.exchange = new LoadExchange({
+            mesh,
+            availabilityZone: self.availabilityZone,
+            slots,
+            loads,
+            findTarget: id => this.targetsById.get(id),
+            onCounts: () => this.queue.wake(),
+            now,
+        });
+        state.onChange(name => {
+            if (name === "config") {
+                this.takeInventory(state.configuration?.targets ?? []);
+            }
+        });
+    }
+
+    /** Asks targets for their load until the signal aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { self, state, mesh, localAddress, now } = this.opts;
+        await new LoadPoll({
+            self,
+            localAddress,
+            signal,
+            targets: () => state.configuration?.targets ?? [],
+            peers: () => mesh.peers(),
+            onAssigned: ids => this.exchange.setAsked(ids),
+            ask: target => {
+                const askedAt = now();
+                const known = this.loads.knownOn(target.id);
+                return report => this.loads.recordReport(target, report, askedAt, known);
+            },
+        }).run();
+    }
+
+    private takeInventory(targets: readonly Target[]): void {
+        this.targetsById = new Map(targets.map(target => [target.id, target]));
+        this.loads.retain(targets);
+        this.queue.wake();
+    }
+}
--- a/steering/src/nearestLeastLoaded.ts
+++ b/steering/src/nearestLeastLoaded.ts
@@ -1,14 +1,17 @@
-import type { SlotLedger } from "./slotLedger.js";
 import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetChooser } from "./targetChooser.js";
+import type { TargetLoads } from "./targetLoads.js";
 
 interface NearestLeastLoadedOptions {
     readonly availabilityZone: string;
     readonly region: string;
-    readonly slots: SlotLedger;
+    readonly loads: TargetLoads;
     readonly random?: () => number;
 }
 
+/** Below this weight a target is used only if no other target anywhere is free. */
+const PREFERRED_WEIGHT = 0.25;
+
 /** Prefers the own availability zone, then the own region; among equals the less loaded of two random targets. */
 export class NearestLeastLoaded implements TargetChooser {
     private readonly random: () => number;
@@ -18,9 +21,26 @@
     }
 
     choose<T extends TargetCandidate>(candidates: readonly T[]): T | undefined {
-        const free = candidates.filter(target => this.opts.slots.hasFreeSlot(target));
-        const nearest = Math.min(...free.map(target => this.distance(target)));
-        return this.lessLoadedOfTwo(free.filter(target => this.distance(target) === nearest));
+        const { loads } = this.opts;
+        const free = candidates.filter(target => loads.hasFreeSlot(target));
+        const usable = free.filter(target => !loads.isBackedOff(target));
+        const preferred = usable.filter(target => loads.weightOf(target) >= PREFERRED_WEIGHT);
+        return this.fromNearest(preferred) ?? this.fromNearest(usable) ?? this.probe(candidates, free);
+    }
+
+    /** If most slots of a service are backed off, waiting for the rest would overload it; so the others are tried. */
+    private probe<T extends TargetCandidate>(candidates: readonly T[], free: readonly T[]): T | undefined {
+        const { loads } = this.opts;
+        const slotsOf = (targets: readonly T[]) => targets.reduce((sum, target) => sum + target.slots, 0);
+        const backedOff = candidates.filter(target => loads.isBackedOff(target));
+        return slotsOf(backedOff) * 2 > slotsOf(candidates)
+            ? this.fromNearest(free.filter(target => loads.isBackedOff(target) && loads.isIdle(target)))
+            : undefined;
+    }
+
+    private fromNearest<T extends TargetCandidate>(targets: readonly T[]): T | undefined {
+        const nearest = Math.min(...targets.map(target => this.distance(target)));
+        return this.lessLoadedOfTwo(targets.filter(target => this.distance(target) === nearest));
     }
 
     private distance(target: TargetCandidate): number {
@@ -31,15 +51,13 @@
     }
 
     private lessLoadedOfTwo<T extends TargetCandidate>(targets: readonly T[]): T | undefined {
-        const first = targets[Math.floor(this.random() * targets.length)];
-        const second = targets[Math.floor(this.random() * targets.length)];
+        const position = Math.floor(this.random() * targets.length);
+        const first = targets[position];
+        const step = 1 + Math.floor(this.random() * (targets.length - 1));
+        const second = targets[(position + step) % targets.length];
         if (first === undefined || second === undefined) {
-            return undefined;
+            return first;
         }
-        return this.load(first) <= this.load(second) ? first : second;
-    }
-
-    private load(target: TargetCandidate): number {
-        return this.opts.slots.runningOn(target.id) / target.slots;
+        return this.opts.loads.score(first) <= this.opts.loads.score(second) ? first : second;
     }
 }
--- a/steering/test/fairTargetQueue.test.ts
+++ b/steering/test/fairTargetQueue.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { FairTargetQueue, NearestLeastLoaded, SlotLedger, type SlotRequest } from "../src/index.js";
+import { FairTargetQueue, NearestLeastLoaded, SlotLedger, type SlotRequest, TargetLoads } from "../src/index.js";
 
-const ZONE = { availabilityZone: "perth-a", region: "perth" };
+const ZONE = { service: "catalogue", availabilityZone: "perth-a", region: "perth" };
 const OUTCOME = { end: "complete", latencyMs: 1 } as const;
 /** Long against the delays of timers on a busy machine, which would pass for waiting. */
 const WORK_MS = 50;
@@ -14,12 +14,13 @@
 
 function createQueue(count: number, slots: number, maxWaiting = 200) {
     const ledger = new SlotLedger();
+    const now = () => performance.now();
     const list = targets(count, slots);
     const opts = {
-        chooser: new NearestLeastLoaded({ ...ZONE, slots: ledger }),
+        chooser: new NearestLeastLoaded({ ...ZONE, loads: new TargetLoads({ slots: ledger, now }) }),
         slots: ledger,
         targetsOf: () => list,
-        now: () => performance.now(),
+        now,
     };
     const queue = new FairTargetQueue({ ...opts, maxWaitingPerWorkspace: maxWaiting });
     return { queue, ledger };
