Move work under the shift cap

Cause: a drain of a zone or region, and the return of a failed target, moved all of its traffic at once, to targets whose caches are cold.

Change: ShiftSchedule keeps the share of usual traffic of each part that the plan drains or returns, and of targets that failed. A share moves by at most capShare per intervalMs on each host. Each request has a random position in the traffic and leaves out the targets whose share is not above it. A paused host goes on from where it stopped; a started host takes the shares of the first peer that it hears. /v1/status shows each shift with its share and the time left.

--- a/entry/src/adminListener.ts
+++ b/entry/src/adminListener.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server } from "node:http";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { FleetState } from "./fleetState.js";
+import type { HostSteering } from "./hostSteering.js";
 
 interface AdminListenerOptions {
     readonly hostId: string;
@@ -15,6 +16,7 @@
     readonly store: HttpObjectStore;
     readonly mesh: WebSocketMesh;
     readonly metrics: EntryMetrics;
+    readonly steering: HostSteering;
     readonly timeline: Timeline;
     readonly isReady: () => boolean;
 }
@@ -36,7 +38,9 @@
     });
 }
 
-function statusOf({ hostId, availabilityZone, incarnation, state, store, mesh, isReady }: AdminListenerOptions) {
+function statusOf(
+    { hostId, availabilityZone, incarnation, state, store, mesh, steering, isReady }: AdminListenerOptions,
+) {
     return {
         hostId,
         availabilityZone,
@@ -44,6 +48,7 @@
         ready: isReady(),
         documents: { config: state.versionOf("config"), keys: state.versionOf("keys"), plan: state.versionOf("plan") },
         storeCalls: store.calls,
+        shifts: steering.shiftProgress,
         peers: mesh.peers(),
         peerTraffic: mesh.traffic,
     };
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -70,6 +70,7 @@
             ...shared,
             store: this.store,
             mesh: this.mesh,
+            steering: this.steering,
             isReady: () => this.isReady,
         });
         state.onChange(name => {
--- a/entry/src/hostSteering.ts
+++ b/entry/src/hostSteering.ts
@@ -4,7 +4,9 @@
     FairTargetQueue,
     LoadExchange,
     NearestLeastLoaded,
+    planSchema,
     RegionPermits,
+    ShiftSchedule,
     SlotLedger,
     TargetLoads,
 } from "@pistachioreel/steering";
@@ -25,6 +27,7 @@
     private readonly slots = new SlotLedger();
     private readonly loads: TargetLoads;
     private readonly permits: RegionPermits;
+    private readonly shifts: ShiftSchedule;
     private readonly exchange: LoadExchange;
     private targetsById: ReadonlyMap<string, Target> = new Map();
 
@@ -32,6 +35,12 @@
         const { self, state, mesh, now } = opts;
         const { slots } = this;
         const loads = this.loads = new TargetLoads({ slots, now });
+        this.shifts = new ShiftSchedule({
+            cap: () => state.configuration?.rules.shift ?? { capShare: 1, intervalMs: 1 },
+            now,
+            wallNow: Date.now,
+        });
+        mesh.attach("shift", this.shifts);
         this.permits = new RegionPermits({
             ...self,
             mesh,
@@ -51,12 +60,16 @@
             chooser: new NearestLeastLoaded({ ...self, loads }),
             slots,
             permits: this.permits,
+            shareOf: target => this.shifts.shareOf(target),
             targetsOf: service => state.configuration?.targetsOf(service) ?? [],
             freeSlots: targets => loads.freeSlots(targets.filter(({ region }) => region === self.region)),
             weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
             onDispatch: target => this.exchange.noteChange(target.id),
             onOutcome: (target, outcome) => {
                 loads.recordOutcome(target, outcome);
+                if (loads.isBackedOff(target)) {
+                    this.shifts.noteFailed(target.id);
+                }
                 this.exchange.noteChange(target.id);
             },
             now,
@@ -74,13 +87,22 @@
             if (name === "config") {
                 this.takeInventory(state.configuration?.targets ?? []);
             }
+            if (name === "plan") {
+                this.takePlan(state.documentOf("plan")?.content ?? "");
+            }
         });
     }
 
+    /** Drains and returns that are under way. */
+    get shiftProgress(): ReturnType<ShiftSchedule["progress"]> {
+        return this.shifts.progress();
+    }
+
     /** Asks targets for their load until the signal aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { self, state, mesh, localAddress, now } = this.opts;
         void this.permits.run(signal);
+        void this.shifts.run(signal);
         await new LoadPoll({
             self,
             localAddress,
@@ -114,6 +136,19 @@
         return Math.floor(Math.min(configuration.rules.regions[region]?.maxRunning ?? slots, slots) / owners.length);
     }
 
+    /** A plan that cannot be read changes nothing. */
+    private takePlan(content: string): void {
+        try {
+            const plan = planSchema.safeParse(JSON.parse(content));
+            if (plan.success) {
+                this.shifts.setPlan(plan.data);
+            }
+        }
+        catch {
+            return;
+        }
+    }
+
     private takeInventory(targets: readonly Target[]): void {
         this.targetsById = new Map(targets.map(target => [target.id, target]));
         this.loads.retain(targets);
--- a/steering/src/fairTargetQueue.ts
+++ b/steering/src/fairTargetQueue.ts
@@ -33,6 +33,8 @@
     readonly maxWaitingPerWorkspace?: number;
     /** Permits that requests need to run in a region; none are needed by default. */
     readonly permits?: Permits;
+    /** Share of its usual traffic that a target gets; 1 by default. */
+    readonly shareOf?: (target: T) => number;
     /** Free slots of the targets, as far as this host knows; by its own counts by default. */
     readonly freeSlots?: (targets: readonly T[]) => number;
     /** Part of the slots that a workspace is entitled to, relative to others, for example its rate; 1 by default. */
@@ -44,6 +46,8 @@
 interface Waiter<T> {
     readonly request: SlotRequest;
     readonly workspace: string;
+    /** Position in the traffic, from 0 to 1: a target that gets a smaller share of it is not for this request. */
+    readonly position: number;
     readonly settle: (result: Result<SlotGrant<T>, Failure>) => void;
 }
 
@@ -94,7 +98,7 @@
             const leave = () => settle(err(new Failure("deadlineInQueue")));
             const timer = setTimeout(leave, timeLeftMs);
             const position = { workspace, priority: request.priority, cost: costs.costOf(workspace) };
-            const remove = waiting.push({ request, workspace, settle }, position);
+            const remove = waiting.push({ request, workspace, position: Math.random(), settle }, position);
             if (remove === undefined) {
                 settle(err(new Failure("queueFull")));
                 return;
@@ -144,7 +148,7 @@
             return "skipped";
         }
         const isFull = excluded.size === 0 ? "exhausted" : "skipped";
-        const target = this.chooseWithPermit(candidates);
+        const target = this.chooseWithPermit(this.withoutMoved(candidates, waiter.position));
         const givePermitBack = target && (this.opts.permits?.take(target.region) ?? (() => {}));
         if (target === undefined || givePermitBack === undefined) {
             return isFull;
@@ -153,6 +157,16 @@
         return "taken";
     }
 
+    /** Leaves out targets that this request has moved away from, unless there are no others. */
+    private withoutMoved(candidates: readonly T[], position: number): readonly T[] {
+        const { shareOf } = this.opts;
+        if (shareOf === undefined) {
+            return candidates;
+        }
+        const staying = candidates.filter(target => position < shareOf(target));
+        return staying.length > 0 ? staying : candidates;
+    }
+
     /** If the best target is in a region without a permit, asks for one and chooses nothing for now. */
     private chooseWithPermit(candidates: readonly T[]): T | undefined {
         const { permits, chooser } = this.opts;
--- a/steering/src/index.ts
+++ b/steering/src/index.ts
@@ -5,6 +5,7 @@
 export { NearestLeastLoaded } from "./nearestLeastLoaded.js";
 export { type Plan, planSchema } from "./plan.js";
 export { RegionPermits } from "./regionPermits.js";
+export { ShiftSchedule } from "./shiftSchedule.js";
 export type { SlotGrant, SlotOutcome } from "./slotGrant.js";
 export { SlotLedger } from "./slotLedger.js";
 export type { SlotRequest } from "./slotRequest.js";
