--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -3,7 +3,6 @@
 import { Logger } from "@pistachioreel/logging";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
-import { FairTargetQueue, NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
@@ -14,6 +13,7 @@
 import { FleetState } from "./fleetState.js";
 import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
+import { HostSteering } from "./hostSteering.js";
 import { ListShares } from "./listShares.js";
 import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
@@ -39,6 +39,7 @@
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
     private readonly admission: WorkspaceAdmission;
+    private readonly steering: HostSteering;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -59,13 +60,12 @@
                 this.logger.info({ event, fields });
             },
         });
-        const slots = new SlotLedger();
-        const { state, metrics } = this;
-        const queue = new FairTargetQueue({
-            chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-            slots,
-            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-            weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
+        const { state, metrics, mesh } = this;
+        this.steering = new HostSteering({
+            self: { hostId, incarnation, availabilityZone, region },
+            state,
+            mesh,
+            localAddress: settings.peers.address,
             now: monotonicNow,
         });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
@@ -85,7 +85,7 @@
             store: this.store,
             hostCount: () => state.hosts.length,
             observe,
-            queue,
+            queue: this.steering.queue,
             now: monotonicNow,
         });
         this.admission = new WorkspaceAdmission({
@@ -113,6 +113,7 @@
             ...shared,
             store: this.store,
             mesh: this.mesh,
+            steering: this.steering,
             isReady: () => this.isReady,
         });
         state.onChange(name => {
@@ -121,7 +122,6 @@
             this.logger.info({ event: "document-in-force", fields });
             if (name === "config") {
                 this.retainPools();
-                queue.wake();
             }
         });
     }
@@ -142,6 +142,7 @@
         this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
         void new BlockMapFollower({ store, state, logger, signal }).run();
+        void this.steering.run(signal);
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         void this.sweep.run(signal);
         this.logger.info({
--- a/steering/src/fairTargetQueue.ts
+++ b/steering/src/fairTargetQueue.ts
@@ -13,6 +13,15 @@
     readonly state: "live" | "leaving";
 }
 
+interface Permits {
+    hasPermit(region: string): boolean;
+    /** Whether a permit may come soon, so that a request should wait for it. */
+    canAsk(region: string): boolean;
+    /** Takes a permit; returns the function that gives it back. */
+    take(region: string): (() => void) | undefined;
+    ask(region: string): void;
+}
+
 interface FairTargetQueueOptions<T> {
     readonly chooser: TargetChooser;
     readonly slots: SlotLedger;
@@ -22,6 +31,10 @@
     readonly now: () => number;
     /** Requests of one workspace that may wait for one service. */
     readonly maxWaitingPerWorkspace?: number;
+    /** Permits that requests need to run in a region; none are needed by default. */
+    readonly permits?: Permits;
+    /** Share of its usual traffic that a target gets; 1 by default. */
+    readonly shareOf?: (target: T) => number;
     /** Free slots of the targets, as far as this host knows; by its own counts by default. */
     readonly freeSlots?: (targets: readonly T[]) => number;
     /** Part of the slots that a workspace is entitled to, relative to others, for example its rate; 1 by default. */
@@ -33,6 +46,8 @@
 interface Waiter<T> {
     readonly request: SlotRequest;
     readonly workspace: string;
+    /** Position in the traffic, from 0 to 1: a target that gets a smaller share of it is not for this request. */
+    readonly position: number;
     readonly settle: (result: Result<SlotGrant<T>, Failure>) => void;
 }
 
@@ -83,7 +98,7 @@
             const leave = () => settle(err(new Failure("deadlineInQueue")));
             const timer = setTimeout(leave, timeLeftMs);
             const position = { workspace, priority: request.priority, cost: costs.costOf(workspace) };
-            const remove = waiting.push({ request, workspace, settle }, position);
+            const remove = waiting.push({ request, workspace, position: Math.random(), settle }, position);
             if (remove === undefined) {
                 settle(err(new Failure("queueFull")));
                 return;
@@ -132,15 +147,48 @@
         if (this.mustLeaveReserve(waiter.workspace, live, queue)) {
             return "skipped";
         }
-        const target = this.opts.chooser.choose(candidates);
-        if (target === undefined) {
-            return excluded.size === 0 ? "exhausted" : "skipped";
+        const isFull = excluded.size === 0 ? "exhausted" : "skipped";
+        const target = this.chooseWithPermit(this.withoutMoved(candidates, waiter.position));
+        const givePermitBack = target && (this.opts.permits?.take(target.region) ?? (() => {}));
+        if (target === undefined || givePermitBack === undefined) {
+            return isFull;
         }
-        waiter.settle(ok(this.grant(target, waiter, queue)));
+        waiter.settle(ok(this.grant(target, waiter, queue, givePermitBack)));
         return "taken";
     }
 
-    private grant(target: T, { request, workspace }: Waiter<T>, { costs, running }: ServiceQueue<T>): SlotGrant<T> {
+    /** Leaves out targets that this request has moved away from, unless there are no others. */
+    private withoutMoved(candidates: readonly T[], position: number): readonly T[] {
+        const { shareOf } = this.opts;
+        if (shareOf === undefined) {
+            return candidates;
+        }
+        const staying = candidates.filter(target => position < shareOf(target));
+        return staying.length > 0 ? staying : candidates;
+    }
+
+    /** If the best target is in a region without a permit, asks for one and chooses nothing for now. */
+    private chooseWithPermit(candidates: readonly T[]): T | undefined {
+        const { permits, chooser } = this.opts;
+        if (permits === undefined) {
+            return chooser.choose(candidates);
+        }
+        const target = chooser.choose(
+            candidates.filter(({ region }) => permits.hasPermit(region) || permits.canAsk(region)),
+        );
+        if (target !== undefined && !permits.hasPermit(target.region)) {
+            permits.ask(target.region);
+            return undefined;
+        }
+        return target;
+    }
+
+    private grant(
+        target: T,
+        { request, workspace }: Waiter<T>,
+        { costs, running }: ServiceQueue<T>,
+        givePermitBack: () => void,
+    ): SlotGrant<T> {
         const giveBack = this.opts.slots.take(target.id);
         running.set(workspace, (running.get(workspace) ?? 0) + 1);
         this.opts.onDispatch?.(target);
@@ -151,6 +199,7 @@
             }
             isReleased = true;
             giveBack();
+            givePermitBack();
             decrement(running, workspace);
             costs.record(workspace, outcome.latencyMs);
             this.opts.onOutcome?.(target, outcome);
--- a/steering/src/index.ts
+++ b/steering/src/index.ts
@@ -1,10 +1,15 @@
 export { FairQueue, type TakeResult } from "./fairQueue.js";
 export { FairTargetQueue } from "./fairTargetQueue.js";
+export { LoadExchange } from "./loadExchange.js";
+export { type LoadReport, loadReportSchema } from "./loadReport.js";
 export { NearestLeastLoaded } from "./nearestLeastLoaded.js";
 export { type Plan, planSchema } from "./plan.js";
+export { RegionPermits } from "./regionPermits.js";
+export { ShiftSchedule } from "./shiftSchedule.js";
 export type { SlotGrant, SlotOutcome } from "./slotGrant.js";
 export { SlotLedger } from "./slotLedger.js";
 export type { SlotRequest } from "./slotRequest.js";
 export type { TargetCandidate } from "./targetCandidate.js";
 export type { TargetChooser } from "./targetChooser.js";
+export { TargetLoads } from "./targetLoads.js";
 export type { TargetQueue } from "./targetQueue.js";
--- a/steering/src/slotLedger.ts
+++ b/steering/src/slotLedger.ts
@@ -1,5 +1,3 @@
-import type { TargetCandidate } from "./targetCandidate.js";
-
 /** Counts the requests that this host has running on each target. */
 export class SlotLedger {
     private readonly running = new Map<string, number>();
@@ -8,8 +6,9 @@
         return this.running.get(targetId) ?? 0;
     }
 
-    hasFreeSlot(target: TargetCandidate): boolean {
-        return this.runningOn(target.id) < target.slots;
+    /** Targets with running requests, and how many. */
+    entries(): IterableIterator<[string, number]> {
+        return this.running.entries();
     }
 
     /** Takes a slot until the returned function is called; further calls of it do nothing. */
