Recognize requests that crash their targets, over all hosts

Cause: a request that crashes each target that runs it was retried on, and repeated to, one target after the other.

Change: a request whose target is lost (connection broken and GET /load fails) becomes a suspect on all hosts. It runs one at a time with the turn of its home host; a success clears it, a second lost target in a turn refuses it everywhere for 10 minutes. The rolling replacement test now stops hosts before the platform's list changes.

--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -5,13 +5,16 @@
 import type { Dispatcher } from "undici";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attemptResult.js";
+import type { CrashSuspects } from "./crashSuspects.js";
 import type { DeliveryObserver } from "./deliveryObserver.js";
 import type { DeliveryReport } from "./deliveryReport.js";
 import type { DeliveryRequest } from "./deliveryRequest.js";
 import { forwardedHeaders } from "./forwardedHeaders.js";
+import { isTargetLost } from "./isTargetLost.js";
 import type { RequestBody } from "./requestBody.js";
 import type { RetryBudget } from "./retryBudget.js";
 import { StrayResponse } from "./strayResponse.js";
+import { suspectDigest } from "./suspectDigest.js";
 import type { TargetPools } from "./targetPools.js";
 
 interface DeliveryTarget {
@@ -23,6 +26,7 @@
     readonly pools: TargetPools;
     readonly queue: TargetQueue<DeliveryTarget>;
     readonly retries: RetryBudget;
+    readonly suspects: CrashSuspects;
     readonly observe: DeliveryObserver;
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -43,6 +47,13 @@
         let mayHaveRun = false;
         this.opts.retries.countFirst();
         for (let attempts = 1;; attempts++) {
+            const { suspects } = this.opts;
+            const entry = suspects.isEmpty
+                ? ok("free" as const)
+                : await suspects.enter(suspectDigest(request, body), deadlineAt);
+            if (entry.isErr()) {
+                return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: entry.error }) : entry.error);
+            }
             const wanted = { service, workspace, priority, deadlineAt, excluded, signal };
             let grant = await this.opts.queue.acquire(wanted);
             if (grant.isErr() && grant.error.code === "noTarget" && excluded.size > 0) {
@@ -51,6 +62,9 @@
                 grant = await this.opts.queue.acquire(wanted);
             }
             if (grant.isErr()) {
+                if (entry.value === "turn") {
+                    suspects.endTurn(suspectDigest(request, body), false);
+                }
                 return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: grant.error }) : grant.error);
             }
             const { target, release } = grant.value;
@@ -59,6 +73,12 @@
             const result = await this.attempt(request, body, target);
             release({ end: result.end, latencyMs: this.opts.now() - startedAt });
             this.noteEnd(request, target, result);
+            if (await isTargetLost(result, this.opts.pools.poolOf(target))) {
+                suspects.noteLoss(suspectDigest(request, body), target.id, entry.value);
+            }
+            else if (entry.value === "turn") {
+                suspects.endTurn(suspectDigest(request, body), result.end === "complete");
+            }
             if (result.answer !== undefined) {
                 return ok({ target: target.id, attempts, answer: result.answer });
             }
--- a/delivery/src/delivery.ts
+++ b/delivery/src/delivery.ts
@@ -1,8 +1,10 @@
+import type { PeerMesh } from "@pistachioreel/peering";
 import type { ObjectStore } from "@pistachioreel/platform-store";
 import type { Failure } from "@pistachioreel/result-code";
 import type { TargetQueue } from "@pistachioreel/steering";
 import { err, type Result } from "neverthrow";
 import { AttemptSequence } from "./attemptSequence.js";
+import { CrashSuspects } from "./crashSuspects.js";
 import type { DeliveryObserver } from "./deliveryObserver.js";
 import type { DeliveryReport } from "./deliveryReport.js";
 import type { DeliveryRequest } from "./deliveryRequest.js";
@@ -24,6 +26,8 @@
     readonly hostId: string;
     /** Hosts that share the store's write budget. */
     readonly hostCount: () => number;
+    /** Links to the other hosts, with which crash suspects are shared. */
+    readonly mesh?: PeerMesh;
     readonly observe?: DeliveryObserver;
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -40,7 +44,9 @@
 
     constructor(private readonly opts: DeliveryOptions) {
         const { pools, queue, now, observe = () => undefined } = opts;
-        this.attempts = new AttemptSequence({ pools, queue, now, observe, retries: new RetryBudget({ now }) });
+        const suspects = new CrashSuspects({ ...opts, observe });
+        const retries = new RetryBudget({ now });
+        this.attempts = new AttemptSequence({ pools, queue, now, observe, retries, suspects });
         this.once = new OnceDelivery({ ...opts, observe, attempts: this.attempts });
     }
 
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -75,6 +75,7 @@
             hostId,
             pools: this.pools,
             store: this.store,
+            mesh: this.mesh,
             hostCount: () => state.hosts.length,
             observe,
             queue,
--- a/entry/test/plannedStop.test.ts
+++ b/entry/test/plannedStop.test.ts
@@ -8,6 +8,7 @@
 const HOSTS = 10;
 const DRAIN_TIMEOUT_MS = 4_000;
 const CALLERS = 12;
+const LIST_LAG_MS = 300;
 const LOOKUP_LIFETIME_MS = 1_000;
 let shop: DeliveryFleet;
 
@@ -24,8 +25,11 @@
 }
 
 async function replaceHost(index: number): Promise<void> {
+    const stopping = stopHost(index);
+    // The platform's list lags, so callers still come to the host.
+    await sleep(LIST_LAG_MS);
     await shop.fleet.publishHosts(listed => listed !== index);
-    const { exitCode, tookMs } = await stopHost(index);
+    const { exitCode, tookMs } = await stopping;
     assert.equal(exitCode, 0);
     assert.ok(tookMs < DRAIN_TIMEOUT_MS + 1_000, `host ${index} took ${tookMs} ms`);
     await shop.fleet.startHost(index);
--- a/testing/src/childProgram.ts
+++ b/testing/src/childProgram.ts
@@ -35,6 +35,10 @@
         return this.child.pid ?? -1;
     }
 
+    get hasEnded(): boolean {
+        return !running.has(this.child);
+    }
+
     /** Resolves when the ready line was printed; rejects if the program ends before it. */
     async started(): Promise<this> {
         await this.ready;
