Prefer other zones for retries, and refuse hopeless and malformed requests

Cause: a retry could go to the zone whose target had just broken; work ran whose deadline no target could meet; malformed requests were refused without being counted, slow heads only after up to 30 s, a missing Host and an invalid X-Deadline-Ms without a result code or not at all.

Change: SlotRequest names the zones to avoid; work with less time left than any work of its service took in the last 10 to 20 s is refused as not run; all refusals of malformed requests carry a code and are counted.

Conclusion: bad input gets a numbered, counted error and reaches no target.

--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -9,6 +9,7 @@
 import type { DeliveryObserver } from "./deliveryObserver.js";
 import type { DeliveryReport } from "./deliveryReport.js";
 import type { DeliveryRequest } from "./deliveryRequest.js";
+import { FastestTimes } from "./fastestTimes.js";
 import { forwardedHeaders } from "./forwardedHeaders.js";
 import { isTargetLost } from "./isTargetLost.js";
 import type { RequestBody } from "./requestBody.js";
@@ -20,6 +21,7 @@
 interface DeliveryTarget {
     readonly id: string;
     readonly connections: number;
+    readonly availabilityZone: string;
 }
 
 interface AttemptSequenceOptions {
@@ -37,14 +39,23 @@
 
 /** Tries targets one after the other until one of them ends the request. */
 export class AttemptSequence {
-    constructor(private readonly opts: AttemptSequenceOptions) {}
+    private readonly fastest: FastestTimes;
+
+    constructor(private readonly opts: AttemptSequenceOptions) {
+        this.fastest = new FastestTimes(opts.now);
+    }
 
     /** Runs the request. A failure that is "not run" means that no attempt can have run it. */
     async run(request: DeliveryRequest, body: RequestBody | undefined): Promise<Result<DeliveryReport, Failure>> {
         const excluded = new Set<string>();
+        const avoidedZones = new Set<string>();
         const { service, workspace, priority, deadlineAt } = request;
         const signal = disconnectSignal(request);
         let mayHaveRun = false;
+        if (deadlineAt - this.opts.now() < this.fastest.shortestOf(service)) {
+            this.opts.observe("deadline-too-short", { request: request.id });
+            return err(new Failure("deadlineInQueue", "no target has answered within the time left"));
+        }
         this.opts.retries.countFirst();
         for (let attempts = 1;; attempts++) {
             const { suspects } = this.opts;
@@ -54,7 +65,8 @@
             if (entry.isErr()) {
                 return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: entry.error }) : entry.error);
             }
-            const wanted = { service, workspace, priority, deadlineAt, excluded, signal };
+            const zones = avoidedZones.size > 0 ? { avoidedZones } : {};
+            const wanted = { service, workspace, priority, deadlineAt, excluded, signal, ...zones };
             let grant = await this.opts.queue.acquire(wanted);
             if (grant.isErr() && grant.error.code === "noTarget" && excluded.size > 0) {
                 // All targets were tried once; one that shed may have a free slot by now.
@@ -80,9 +92,13 @@
                 suspects.endTurn(suspectDigest(request, body), result.end === "complete");
             }
             if (result.answer !== undefined) {
+                this.fastest.record(service, this.opts.now() - startedAt);
                 return ok({ target: target.id, attempts, answer: result.answer });
             }
             mayHaveRun ||= result.end !== "unsent" && result.end !== "refused";
+            if (result.end === "broken" || result.end === "unsent") {
+                avoidedZones.add(target.availabilityZone);
+            }
             if (attempts >= MAX_ATTEMPTS || !this.mayRetry(request, body, result)) {
                 return err(failureOf(result, mayHaveRun));
             }
--- a/delivery/src/delivery.ts
+++ b/delivery/src/delivery.ts
@@ -17,6 +17,7 @@
 interface DeliveryTarget {
     readonly id: string;
     readonly connections: number;
+    readonly availabilityZone: string;
 }
 
 interface DeliveryOptions {
--- /dev/null
+++ b/delivery/src/fastestTimes.ts
@@ -0,0 +1,42 @@
+interface Window {
+    startedAt: number;
+    current: number;
+    previous: number;
+}
+
+const WINDOW_MS = 10_000;
+
+/** Shortest times of completed work by service within the last 10 to 20 s. */
+export class FastestTimes {
+    private readonly windows = new Map<string, Window>();
+
+    constructor(private readonly now: () => number) {}
+
+    record(service: string, tookMs: number): void {
+        const window = this.windowOf(service);
+        window.current = Math.min(window.current, tookMs);
+    }
+
+    /** Time below which no work of the service ended; 0 if none is known. */
+    shortestOf(service: string): number {
+        const { current, previous } = this.windowOf(service);
+        const shortest = Math.min(current, previous);
+        return shortest === Infinity ? 0 : shortest;
+    }
+
+    private windowOf(service: string): Window {
+        const now = this.now();
+        let window = this.windows.get(service);
+        if (window === undefined) {
+            window = { startedAt: now, current: Infinity, previous: Infinity };
+            this.windows.set(service, window);
+        }
+        if (now - window.startedAt >= WINDOW_MS) {
+            // After a gap, the older window says nothing about the present.
+            window.previous = now - window.startedAt < 2 * WINDOW_MS ? window.current : Infinity;
+            window.current = Infinity;
+            window.startedAt = now;
+        }
+        return window;
+    }
+}
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,10 +1,10 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
 import { EntryHostRanking } from "@pistachioreel/lookup";
-import { Failure } from "@pistachioreel/result-code";
+import { Failure, resultCodes } from "@pistachioreel/result-code";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Duplex } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMetrics } from "./entryMetrics.js";
@@ -35,6 +35,7 @@
 const LOOKUP_PATH = "/v1/lookup";
 const LOOKUP_LIFETIME_SECONDS = 10;
 const HEADERS_TIMEOUT_MS = 5_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const LINGER_POLL_MS = 20;
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -56,10 +57,17 @@
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
             requestTimeout: 0,
+            connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+            // Checked by the listener, so that the refusal has a result code.
+            requireHostHeader: false,
         }, (request, response) => {
             this.handle(request, response).catch((cause: Error) => response.destroy(cause));
         });
-        this.server.on("clientError", rejectMalformed);
+        this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
+            const failure = malformedFailure(error);
+            this.opts.metrics.requests.inc({ workspace: "", code: failure.number });
+            rejectMalformed(socket, failure);
+        });
         this.server.on("connection", (socket: Duplex) => {
             this.connections++;
             socket.once("close", () => this.connections--);
@@ -156,6 +164,12 @@
         if (Number(request.headers["content-length"] ?? 0) > route.maxBodyBytes) {
             return err(new Failure("bodyTooLarge"));
         }
+        if (request.headers.host === undefined && request.httpVersion === "1.1") {
+            return err(new Failure("requestMalformed", "the request has no `Host`"));
+        }
+        if (Number.isNaN(callerDeadlineMs(request))) {
+            return err(new Failure("requestMalformed", "`X-Deadline-Ms` must be a positive number of milliseconds"));
+        }
         const idempotencyKey = request.headers["idempotency-key"]?.toString();
         if (!route.idempotent && idempotencyKey === undefined) {
             return err(new Failure("idempotencyKeyMissing"));
@@ -238,9 +252,13 @@
     return /^Bearer (\S+)$/i.exec(request.headers.authorization ?? "")?.[1];
 }
 
+/** Time that the caller gives, in ms; NaN if it is not a positive number. */
 function callerDeadlineMs(request: IncomingMessage): number {
-    const value = Number(request.headers["x-deadline-ms"]);
-    return value > 0 ? value : Infinity;
+    const value = request.headers["x-deadline-ms"];
+    if (value === undefined) {
+        return Infinity;
+    }
+    return Number(value) > 0 ? Number(value) : NaN;
 }
 
 function decodeLoosely(url: string): string {
@@ -252,17 +270,22 @@
     }
 }
 
-function rejectMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+function malformedFailure(error: NodeJS.ErrnoException): Failure {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return new Failure("headerTooLarge");
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return new Failure("requestTimeout");
+        default:
+            return new Failure("requestMalformed");
+    }
+}
+
+function rejectMalformed(socket: Duplex, failure: Failure): void {
     if (!socket.writable) {
         return;
     }
-    const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
-    const isSlow = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
-    const [status, failure] = isTooLarge
-        ? ["431 Request Header Fields Too Large", new Failure("headerTooLarge")]
-        : isSlow
-        ? ["408 Request Timeout", new Failure("requestTimeout")]
-        : ["400 Bad Request", new Failure("requestMalformed")];
-    const head = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\nx-not-run: 1`;
+    const { status } = resultCodes[failure.code];
+    const head = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\nx-not-run: 1`;
     socket.end(`${head}\r\nx-result-code: ${failure.number}\r\n\r\n`);
 }
--- /dev/null
+++ b/entry/test/badInput.test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { DeliveryFleet } from "../../delivery/test/deliveryFleet.js";
+
+const REPLY_TIMEOUT_MS = 9_000;
+const MARKER = "x-marker: bad-input";
+let shop: DeliveryFleet;
+
+before(async () => {
+    shop = await DeliveryFleet.start({ hosts: 1, deadlineMs: 20_000 });
+});
+
+after(() => shop?.stop());
+
+/** Sends lines as they are and returns what comes back until the connection closes. */
+async function exchange(lines: readonly string[], more: readonly string[] = []): Promise<string> {
+    const [host, port] = shop.fleet.callersOf(0).split(":") as [string, string];
+    const socket = connect(Number(port), host);
+    let reply = "";
+    const closed = new Promise<void>(resolve => socket.once("close", () => resolve()));
+    socket.on("data", data => reply += String(data)).on("error", () => undefined);
+    socket.write(`${lines.join("\r\n")}\r\n`);
+    for (const part of more) {
+        await sleep(50);
+        socket.write(part);
+    }
+    await Promise.race([closed, sleep(REPLY_TIMEOUT_MS)]);
+    socket.destroy();
+    return reply;
+}
+
+function codesOf(reply: string): string[] {
+    return [...reply.matchAll(/x-result-code: (\d+)/gi)].map(match => match[1] as string);
+}
+
+const cases: readonly (readonly [name: string, code: string, lines: readonly string[]])[] = [
+    ["both lengths", "3013", [
+        "POST /stock HTTP/1.1",
+        "host: a",
+        MARKER,
+        "content-length: 4",
+        "transfer-encoding: chunked",
+        "",
+        "0",
+        "",
+        "",
+    ]],
+    ["two lengths", "3013", [
+        "POST /stock HTTP/1.1",
+        "host: a",
+        MARKER,
+        "content-length: 4",
+        "content-length: 5",
+        "",
+        "abcde",
+    ]],
+    ["equal lengths twice", "3013", [
+        "POST /stock HTTP/1.1",
+        "host: a",
+        MARKER,
+        "content-length: 4",
+        "content-length: 4",
+        "",
+        "abcd",
+    ]],
+    ["length list", "3013", ["POST /stock HTTP/1.1", "host: a", MARKER, "content-length: 4, 4", "", "abcd"]],
+    ["length of other form", "3013", ["POST /stock HTTP/1.1", "host: a", MARKER, "content-length: +4", "", "abcd"]],
+    ["coding not last", "3013", [
+        "POST /stock HTTP/1.1",
+        "host: a",
+        MARKER,
+        "transfer-encoding: chunked, gzip",
+        "",
+        "0",
+        "",
+        "",
+    ]],
+    ["large head", "3019", ["GET /stock HTTP/1.1", "host: a", MARKER, `x-large: ${"x".repeat(20_000)}`, "", ""]],
+    ["slow head", "3020", ["GET /stock HTTP/1.1", "host: a", MARKER, "x-slow:"]],
+    ["slow body", "3020", ["POST /stock HTTP/1.1", "host: a", MARKER, "content-length: 1000", "", "abc"]],
+    ["body too large", "3014", ["POST /notes HTTP/1.1", "host: a", MARKER, "content-length: 100001", "", ""]],
+    ["bad idempotency key", "3013", [
+        "POST /orders HTTP/1.1",
+        "host: a",
+        MARKER,
+        `idempotency-key: ${"k".repeat(300)}`,
+        "content-length: 0",
+        "",
+        "",
+    ]],
+    ["two idempotency keys", "3013", [
+        "POST /orders HTTP/1.1",
+        "host: a",
+        MARKER,
+        "idempotency-key: a",
+        "idempotency-key: b",
+        "content-length: 0",
+        "",
+        "",
+    ]],
+    ["bad deadline", "3013", ["GET /stock HTTP/1.1", "host: a", MARKER, "x-deadline-ms: soon", "", ""]],
+    ["no host", "3013", ["GET /stock HTTP/1.1", MARKER, "", ""]],
+];
+
+for (const [name, code, lines] of cases) {
+    test(`${name}: refused with ${code} as not run, counted, and never at a target`, async () => {
+        const before = await refusals(code);
+        const reply = await exchange(lines);
+        assert.deepEqual(codesOf(reply).slice(0, 1), [code], reply.slice(0, 200));
+        assert.match(reply, /x-not-run: 1/i);
+        assert.equal(shop.runsOf("bad-input").length, 0);
+        assert.equal(await refusals(code) - before, 1);
+    });
+}
+
+test("a chunked body above the route's limit is refused with 3014 before it reaches a target", async () => {
+    const head = ["POST /notes HTTP/1.1", "host: a", MARKER, "transfer-encoding: chunked", ""];
+    const chunk = `${(60_000).toString(16)}\r\n${"x".repeat(60_000)}\r\n`;
+    const reply = await exchange(head, [chunk, chunk]);
+    assert.deepEqual(codesOf(reply), ["3014"], reply.slice(0, 200));
+    assert.equal(shop.runsOf("bad-input").length, 0);
+});
+
+async function refusals(code: string): Promise<number> {
+    const text = await (await fetch(`http://${shop.fleet.adminOf(0)}/metrics`)).text();
+    const lines = text.split("\n").filter(line =>
+        line.startsWith("pistachioreel_requests_total") && line.includes(`code="${code}"`)
+    );
+    return lines.reduce((total, line) => total + Number(line.split(" ").at(-1)), 0);
+}
--- a/steering/src/fairTargetQueue.ts
+++ b/steering/src/fairTargetQueue.ts
@@ -123,7 +123,7 @@
     }
 
     private offer(waiter: Waiter<T>, live: readonly T[], queue: ServiceQueue<T>): TakeResult {
-        const { excluded } = waiter.request;
+        const { excluded, avoidedZones } = waiter.request;
         const candidates = excluded.size === 0 ? live : live.filter(target => !excluded.has(target.id));
         if (candidates.length === 0) {
             waiter.settle(err(new Failure("noTarget")));
@@ -132,7 +132,8 @@
         if (this.mustLeaveReserve(waiter.workspace, live, queue)) {
             return "skipped";
         }
-        const target = this.opts.chooser.choose(candidates);
+        const elsewhere = avoidedZones && candidates.filter(target => !avoidedZones.has(target.availabilityZone));
+        const target = this.opts.chooser.choose(elsewhere ?? candidates) ?? this.opts.chooser.choose(candidates);
         if (target === undefined) {
             return excluded.size === 0 ? "exhausted" : "skipped";
         }
--- a/steering/src/slotRequest.ts
+++ b/steering/src/slotRequest.ts
@@ -8,6 +8,8 @@
     readonly deadlineAt: number;
     /** Targets that earlier attempts have tried. */
     readonly excluded: ReadonlySet<string>;
+    /** Availability zones in which an earlier attempt broke; targets elsewhere are preferred. */
+    readonly avoidedZones?: ReadonlySet<string>;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
 }
--- a/testing/src/targetStandIn.ts
+++ b/testing/src/targetStandIn.ts
@@ -129,6 +129,9 @@
     }
 
     private async answer(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
+        if (response.closed) {
+            return;
+        }
         const echo = {
             marker: request.headers["x-marker"],
             workspace: request.headers["x-workspace"],
@@ -158,9 +161,6 @@
             return;
         }
         await new Promise<void>(resolve => {
-            if (response.closed) {
-                resolve();
-            }
             response.once("close", () => resolve());
             response.end(text);
         });
