--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -5,24 +5,30 @@
 import type { Dispatcher } from "undici";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attemptResult.js";
+import type { CrashSuspects } from "./crashSuspects.js";
 import type { DeliveryObserver } from "./deliveryObserver.js";
 import type { DeliveryReport } from "./deliveryReport.js";
 import type { DeliveryRequest } from "./deliveryRequest.js";
+import { FastestTimes } from "./fastestTimes.js";
 import { forwardedHeaders } from "./forwardedHeaders.js";
+import { isTargetLost } from "./isTargetLost.js";
 import type { RequestBody } from "./requestBody.js";
 import type { RetryBudget } from "./retryBudget.js";
 import { StrayResponse } from "./strayResponse.js";
+import { suspectDigest } from "./suspectDigest.js";
 import type { TargetPools } from "./targetPools.js";
 
 interface DeliveryTarget {
     readonly id: string;
     readonly connections: number;
+    readonly availabilityZone: string;
 }
 
 interface AttemptSequenceOptions {
     readonly pools: TargetPools;
     readonly queue: TargetQueue<DeliveryTarget>;
     readonly retries: RetryBudget;
+    readonly suspects: CrashSuspects;
     readonly observe: DeliveryObserver;
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -33,17 +39,34 @@
 
 /** Tries targets one after the other until one of them ends the request. */
 export class AttemptSequence {
-    constructor(private readonly opts: AttemptSequenceOptions) {}
+    private readonly fastest: FastestTimes;
+
+    constructor(private readonly opts: AttemptSequenceOptions) {
+        this.fastest = new FastestTimes(opts.now);
+    }
 
     /** Runs the request. A failure that is "not run" means that no attempt can have run it. */
     async run(request: DeliveryRequest, body: RequestBody | undefined): Promise<Result<DeliveryReport, Failure>> {
         const excluded = new Set<string>();
+        const avoidedZones = new Set<string>();
         const { service, workspace, priority, deadlineAt } = request;
         const signal = disconnectSignal(request);
         let mayHaveRun = false;
+        if (deadlineAt - this.opts.now() < this.fastest.shortestOf(service)) {
+            this.opts.observe("deadline-too-short", { request: request.id });
+            return err(new Failure("deadlineInQueue", "no target has answered within the time left"));
+        }
         this.opts.retries.countFirst();
         for (let attempts = 1;; attempts++) {
-            const wanted = { service, workspace, priority, deadlineAt, excluded, signal };
+            const { suspects } = this.opts;
+            const entry = suspects.isEmpty
+                ? ok("free" as const)
+                : await suspects.enter(suspectDigest(request, body), deadlineAt);
+            if (entry.isErr()) {
+                return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: entry.error }) : entry.error);
+            }
+            const zones = avoidedZones.size > 0 ? { avoidedZones } : {};
+            const wanted = { service, workspace, priority, deadlineAt, excluded, signal, ...zones };
             let grant = await this.opts.queue.acquire(wanted);
             if (grant.isErr() && grant.error.code === "noTarget" && excluded.size > 0) {
                 // All targets were tried once; one that shed may have a free slot by now.
@@ -51,6 +74,9 @@
                 grant = await this.opts.queue.acquire(wanted);
             }
             if (grant.isErr()) {
+                if (entry.value === "turn") {
+                    suspects.endTurn(suspectDigest(request, body), false);
+                }
                 return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: grant.error }) : grant.error);
             }
             const { target, release } = grant.value;
@@ -59,10 +85,20 @@
             const result = await this.attempt(request, body, target);
             release({ end: result.end, latencyMs: this.opts.now() - startedAt });
             this.noteEnd(request, target, result);
+            if (await isTargetLost(result, this.opts.pools.poolOf(target))) {
+                suspects.noteLoss(suspectDigest(request, body), target.id, entry.value);
+            }
+            else if (entry.value === "turn") {
+                suspects.endTurn(suspectDigest(request, body), result.end === "complete");
+            }
             if (result.answer !== undefined) {
+                this.fastest.record(service, this.opts.now() - startedAt);
                 return ok({ target: target.id, attempts, answer: result.answer });
             }
             mayHaveRun ||= result.end !== "unsent" && result.end !== "refused";
+            if (result.end === "broken" || result.end === "unsent") {
+                avoidedZones.add(target.availabilityZone);
+            }
             if (attempts >= MAX_ATTEMPTS || !this.mayRetry(request, body, result)) {
                 return err(failureOf(result, mayHaveRun));
             }
--- a/steering/src/fairTargetQueue.ts
+++ b/steering/src/fairTargetQueue.ts
@@ -138,7 +138,7 @@
     }
 
     private offer(waiter: Waiter<T>, live: readonly T[], queue: ServiceQueue<T>): TakeResult {
-        const { excluded } = waiter.request;
+        const { excluded, avoidedZones } = waiter.request;
         const candidates = excluded.size === 0 ? live : live.filter(target => !excluded.has(target.id));
         if (candidates.length === 0) {
             waiter.settle(err(new Failure("noTarget")));
@@ -148,7 +148,9 @@
             return "skipped";
         }
         const isFull = excluded.size === 0 ? "exhausted" : "skipped";
-        const target = this.chooseWithPermit(this.withoutMoved(candidates, waiter.position));
+        const staying = this.withoutMoved(candidates, waiter.position);
+        const elsewhere = avoidedZones && staying.filter(target => !avoidedZones.has(target.availabilityZone));
+        const target = this.chooseWithPermit(elsewhere ?? []) ?? this.chooseWithPermit(staying);
         const givePermitBack = target && (this.opts.permits?.take(target.region) ?? (() => {}));
         if (target === undefined || givePermitBack === undefined) {
             return isFull;
