--- a/entry/test/workspaceLimits.test.ts
+++ b/entry/test/workspaceLimits.test.ts
@@ -87,11 +87,16 @@
 
 // Guards against a new process that hands out again what its predecessor has lent.
 test("a host that was killed and replaced does not lend twice", async () => {
-    await load("before-kill", [0], 1_500);
-    await Promise.all([1, 2].map(host => faults.fleet.hosts[host]?.end("SIGKILL")));
-    await Promise.all([1, 2].map(host => faults.fleet.startHost(host)));
-    await load("replaced", HOSTS, 4_000);
+    const kept = load("kept", [0], 7_000);
+    await sleep(2_000);
+    // A borrower that is linked to the new process drops the old loans at once, so it is cut off.
+    faults.setPeerFault((opener, acceptor) => ({ mode: opener === 0 || acceptor === 0 ? "refuse" : "pass" }));
+    await Promise.all([1, 2, 3].map(host => faults.fleet.hosts[host]?.end("SIGKILL")));
+    await Promise.all([1, 2, 3].map(host => faults.fleet.startHost(host)));
+    await Promise.all([kept, load("replaced", [1, 2, 3], 4_000)]);
     assertWithinLimit();
+    faults.heal();
+    await sleep(SETTLE_MS);
 });
 
 // Guards against loans that are counted twice when messages about them are lost or cut off.
