Measure entry hosts and fleets at rest at several sizes

Cause: the capacity page needs slopes of whole processes. Change: the capacity bench reads processor time and memory of the hosts that it started from /proc, and store calls and peer traffic from their status.

--- a/bench/src/capacityBench.ts
+++ b/bench/src/capacityBench.ts
@@ -1,24 +1,63 @@
+import { type FleetCapacity, measureFleets } from "./fleetCapacity.js";
+import { type HostCapacity, measureHost } from "./hostCapacity.js";
 import type { LinearFit } from "./linearFit.js";
 import { type LookupCapacity, measureLookup } from "./lookupCapacity.js";
 
 interface CapacityResult {
-    readonly lookup: LookupCapacity;
+    readonly lookup?: LookupCapacity;
+    readonly host?: HostCapacity;
+    readonly fleet?: FleetCapacity;
 }
 
 const BLOCK_COUNTS = [250_000, 500_000, 1_000_000, 1_900_000];
 const IPV6_SHARE = 0.3;
-const HOSTS = 500;
+const LISTED_HOSTS = 500;
+const FLEET_SIZES = [10, 20, 40, 60];
 
-/** Measures what each part costs at several sizes and fits lines, for `docs/CAPACITY.md`. */
-export function capacityBench(): Promise<CapacityResult> {
-    const lookup = measureLookup({ blockCounts: BLOCK_COUNTS, ipv6Share: IPV6_SHARE, hosts: HOSTS });
-    for (const point of lookup.points) {
-        print(Object.entries(point).map(([name, value]) => `${name}=${Number(value).toFixed(0)}`).join(" "));
+/**
+ * Measures what each part costs at several sizes and fits lines, for `docs/CAPACITY.md`.
+ *
+ * @param args Parts to measure: `lookup`, `host`, `fleet`; all of them if empty.
+ */
+export async function capacityBench(args: readonly string[]): Promise<CapacityResult> {
+    const isWanted = (part: string) => args.length === 0 || args.includes(part);
+    return {
+        lookup: isWanted("lookup") ? printLookup() : undefined,
+        host: isWanted("host") ? await printHost() : undefined,
+        fleet: isWanted("fleet") ? await printFleet() : undefined,
+    };
+}
+
+function printLookup(): LookupCapacity {
+    const lookup = measureLookup({ blockCounts: BLOCK_COUNTS, ipv6Share: IPV6_SHARE, hosts: LISTED_HOSTS });
+    lookup.points.forEach(point => printFields("lookup", point));
+    printFit("lookup table bytes per block", lookup.tableBytes);
+    printFit("lookup stored bytes per block", lookup.storedBytes);
+    printFit("lookup load ms per block", lookup.loadMs);
+    return lookup;
+}
+
+async function printHost(): Promise<HostCapacity> {
+    const host = await measureHost();
+    for (const { dimension, points, residentBytes, core } of host.slopes) {
+        points.forEach(point => printFields(`host ${dimension}`, point));
+        printFit(`host resident bytes against ${dimension}`, residentBytes);
+        printFit(`host share of a core against ${dimension}`, core);
     }
-    printFit("table bytes per block", lookup.tableBytes);
-    printFit("stored bytes per block", lookup.storedBytes);
-    printFit("load ms per block", lookup.loadMs);
-    return Promise.resolve({ lookup });
+    printFields("host http lookups", host.http);
+    return host;
+}
+
+async function printFleet(): Promise<FleetCapacity> {
+    const fleet = await measureFleets(FLEET_SIZES);
+    fleet.points.forEach(point => printFields("fleet", point));
+    Object.entries(fleet.fits).forEach(([name, fit]) => printFit(`fleet ${name} against hosts`, fit));
+    return fleet;
+}
+
+function printFields(title: string, fields: object): void {
+    const values = Object.entries(fields).map(([name, value]) => `${name}=${Number(Number(value).toPrecision(5))}`);
+    print(`${title}: ${values.join(" ")}`);
 }
 
 function printFit(name: string, { slope, intercept, r2 }: LinearFit): void {
