--- a/entry/src/hostFitness.ts
+++ b/entry/src/hostFitness.ts
@@ -56,7 +56,8 @@
     /** Ids of hosts that are leaving, overloaded or silent; the same object until the set changes. */
     unfitHosts(): ReadonlySet<string> {
         const now = this.opts.now();
-        if (now - this.unfitAt < MEASURE_INTERVAL_MS) {
+        const isSelfNamed = this.opts.isLeaving() && !this.unfit.has(this.opts.hostId);
+        if (now - this.unfitAt < MEASURE_INTERVAL_MS && !isSelfNamed) {
             return this.unfit;
         }
         this.unfitAt = now;
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -60,6 +60,7 @@
         "it is not known whether the write took effect",
         "run the same command again",
     ),
+    storeDenied: code(2010, 403, "none", "the store does not allow the call", "check the store token and its rights"),
 
     // 3xxx: refusals of requests
     keyMissing: code(3001, 401, "not run", "the route needs a key", "send `Authorization: Bearer <key>`"),
@@ -99,9 +100,16 @@
     workspaceMismatch: code(3017, 403, "not run", "the route is not open to this workspace", "use the right key"),
     queueFull: code(3018, 503, "not run", "the queue of the workspace is full", "retry later"),
     headerTooLarge: code(3019, 431, "not run", "the request head is too large", "send fewer or shorter headers"),
-    requestTimeout: code(3020, 408, "not run", "the request head did not arrive in time", "send the head faster"),
-    clientAddressInvalid: code(
+    requestTimeout: code(3020, 408, "not run", "the request did not arrive in time", "send the request faster"),
+    claimUnavailable: code(
         3030,
+        503,
+        "not run",
+        "the store did not take the claim of the request",
+        "repeat with the same `Idempotency-Key`",
+    ),
+    clientAddressInvalid: code(
+        3060,
         400,
         "not run",
         "the client of a lookup is not an address",
@@ -112,6 +120,7 @@
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
     answerBroken: code(4002, 502, "run", "the target's answer broke off", "repeat if the work is idempotent"),
     deadlineExceeded: code(4003, 504, "unknown", "the deadline passed while the request ran", "repeat if idempotent"),
+    answerNotKept: code(4004, 410, "run", "the request ran; its response was too large to keep", "look up the result"),
 
     // 5xxx: hosts
     peerRejected: code(5001, 403, "none", "the peer did not prove that it belongs", "compare the peer secrets"),
