Add a bench of the worst-served workspace beside one at 5 times its rate

Caller and aggressor share one process, so the figure includes the delay of the measuring process itself.

--- a/bench/src/limitsBench.ts
+++ b/bench/src/limitsBench.ts
@@ -127,7 +127,8 @@
         await sleep(STEP_MS);
     }
     const ended = await Promise.all(outcomes);
-    const messages = await countMessages(faults, live) - messagesBefore;
+    const messagesAfter = await countMessages(faults, live);
+    const messages = messagesAfter.reduce((sum, count, host) => sum + count - (messagesBefore[host] ?? 0), 0);
     const refused = ended.filter(outcome => outcome === "refused").length;
     const complete = ended.filter(outcome => outcome === "complete").length;
     return {
@@ -156,12 +157,11 @@
     return record.code === RATE_EXCEEDED ? "refused" : record.outcome;
 }
 
-async function countMessages(faults: PartitionableFleet, hosts: readonly number[]): Promise<number> {
-    const counts = await Promise.all(hosts.map(async host => {
+async function countMessages(faults: PartitionableFleet, hosts: readonly number[]): Promise<number[]> {
+    return Promise.all(hosts.map(async host => {
         const response = await request(`http://${faults.fleet.adminOf(host)}/metrics`);
         return Number(/^pistachioreel_loan_messages (\S+)/m.exec(await response.body.text())?.[1] ?? NaN);
     }));
-    return counts.reduce((sum, count) => sum + count, 0);
 }
 
 /** Time to the next arrival of a Poisson process, in s. */
--- /dev/null
+++ b/bench/src/limitsFairnessBench.ts
@@ -0,0 +1,115 @@
+import { Caller, PartitionableFleet } from "@pistachioreel/testing";
+import { setTimeout as sleep } from "node:timers/promises";
+
+interface RunResult {
+    /** Worst p99 of the workspaces inside their rate, in ms. */
+    readonly worstP99Ms: number;
+    /** Lowest share of requests with a complete response. */
+    readonly worstComplete: number;
+}
+
+interface LimitsFairnessResult {
+    readonly alone: RunResult;
+    readonly withAggressor: RunResult;
+    /** Median over the rounds of p99 with the aggressor to p99 without. */
+    readonly p99Ratio: number;
+}
+
+const HOSTS = 3;
+const RATE = 60;
+const INSIDE = ["courts", "notaries", "insurers"];
+const AGGRESSOR = "partners";
+const INSIDE_SHARE = 0.6;
+const AGGRESSOR_SHARE = 5;
+const DEFAULT_ROUNDS = 3;
+const DEFAULT_ROUND_SECONDS = 6;
+const SETTLE_MS = 6_000;
+const STEP_MS = 2;
+const MS_PER_SECOND = 1_000;
+const RULES = JSON.stringify({
+    deployment: "bench",
+    services: { schedule: {} },
+    routes: [{ path: "/visits", methods: ["GET"], service: "schedule", idempotent: true }],
+    workspaces: Object.fromEntries([...INSIDE, AGGRESSOR].map(name => [name, { rate: RATE, burst: RATE }])),
+});
+
+/** Compares the worst-served workspace with and without another at 5 times its rate. Arguments: rounds, seconds a round. */
+export async function limitsFairnessBench(args: readonly string[]): Promise<LimitsFairnessResult> {
+    const rounds = Number(args[0] ?? DEFAULT_ROUNDS);
+    const seconds = Number(args[1] ?? DEFAULT_ROUND_SECONDS);
+    const faults = await PartitionableFleet.start({ zones: ["tbilisi-a", "tbilisi-b", "kutaisi-a"], rules: RULES });
+    try {
+        const keys = new Map<string, string>();
+        for (const workspace of [...INSIDE, AGGRESSOR]) {
+            keys.set(workspace, (await faults.fleet.issueKey(workspace)).key);
+        }
+        await sleep(SETTLE_MS);
+        const alone: RunResult[] = [];
+        const disturbed: RunResult[] = [];
+        await run(faults, keys, 0, 2);
+        for (let round = 0; round < rounds; round++) {
+            alone.push(await run(faults, keys, 0, seconds));
+            disturbed.push(await run(faults, keys, AGGRESSOR_SHARE * RATE, seconds));
+        }
+        const result = {
+            alone: summarize(alone),
+            withAggressor: summarize(disturbed),
+            p99Ratio: median(disturbed.map(({ worstP99Ms }, round) => worstP99Ms / (alone[round]?.worstP99Ms ?? NaN))),
+        };
+        process.stdout.write(`${JSON.stringify(result)}\n`);
+        return result;
+    }
+    finally {
+        await faults.stop();
+    }
+}
+
+async function run(
+    faults: PartitionableFleet,
+    keys: ReadonlyMap<string, string>,
+    aggressorPerSecond: number,
+    seconds: number,
+): Promise<RunResult> {
+    const callers = new Map([...keys.keys()].map(workspace => [workspace, new Caller()]));
+    const startedAt = performance.now();
+    const sent: Promise<unknown>[] = [];
+    const counts = new Map<string, number>();
+    for (let elapsed = 0; elapsed < seconds; elapsed = (performance.now() - startedAt) / MS_PER_SECOND) {
+        for (const [workspace, caller] of callers) {
+            const perSecond = workspace === AGGRESSOR ? aggressorPerSecond : INSIDE_SHARE * RATE;
+            let count = counts.get(workspace) ?? 0;
+            for (; count < elapsed * perSecond; count++) {
+                const host = faults.fleet.callersOf(count % HOSTS);
+                const marker = `${workspace}-${startedAt}-${count}`;
+                sent.push(caller.send({ host, path: "/visits", marker, key: keys.get(workspace) }));
+            }
+            counts.set(workspace, count);
+        }
+        await sleep(STEP_MS);
+    }
+    await Promise.all(sent);
+    await Promise.all([...callers.values()].map(caller => caller.close()));
+    const records = INSIDE.map(workspace => callers.get(workspace)?.records ?? []);
+    return {
+        worstP99Ms: Math.max(...records.map(ofOne => quantile(ofOne.map(({ latencyMs }) => latencyMs), 0.99))),
+        worstComplete: Math.min(
+            ...records.map(ofOne => ofOne.filter(({ outcome }) => outcome === "complete").length / ofOne.length),
+        ),
+    };
+}
+
+function summarize(runs: readonly RunResult[]): RunResult {
+    return {
+        worstP99Ms: median(runs.map(({ worstP99Ms }) => worstP99Ms)),
+        worstComplete: Math.min(...runs.map(({ worstComplete }) => worstComplete)),
+    };
+}
+
+function median(values: readonly number[]): number {
+    return quantile(values, 0.5);
+}
+
+function quantile(values: readonly number[], share: number): number {
+    const sorted = [...values].sort((first, second) => first - second);
+    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN;
+}
