--- /dev/null
+++ b/steering/src/targetLoads.ts
@@ -0,0 +1,125 @@
+import type { LoadReport } from "./loadReport.js";
+import { LoadReports } from "./loadReports.js";
+import { PeerCounts } from "./peerCounts.js";
+import type { SlotOutcome } from "./slotGrant.js";
+import type { SlotLedger } from "./slotLedger.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+import { TargetHealth } from "./targetHealth.js";
+
+interface TargetLoadsOptions {
+    readonly slots: SlotLedger;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    readonly random?: () => number;
+}
+
+const MEDIAN_INTERVAL_MS = 200;
+
+/** Everything that this host knows about the load and health of targets. */
+export class TargetLoads {
+    readonly peers: PeerCounts;
+    readonly reports: LoadReports;
+    private readonly health = new Map<string, TargetHealth>();
+    private readonly medians = new Map<string, { readonly value: number | undefined; readonly at: number; }>();
+    private inventory: ReadonlySet<string> | undefined;
+
+    constructor(private readonly opts: TargetLoadsOptions) {
+        this.peers = new PeerCounts(opts.now);
+        this.reports = new LoadReports(opts.now);
+    }
+
+    /** Takes over a new inventory: targets that were not in the one before start cold, removed ones are forgotten. */
+    retain(targets: readonly TargetCandidate[]): void {
+        const ids = new Set(targets.map(target => target.id));
+        [...this.health.keys()].filter(id => !ids.has(id)).forEach(id => this.health.delete(id));
+        const known = this.inventory;
+        this.inventory = ids;
+        targets.filter(target => known !== undefined && !known.has(target.id))
+            .forEach(target => this.healthOf(target).startRamp());
+    }
+
+    /** Whether the target can take one more request, without regard to backoff. */
+    hasFreeSlot(target: TargetCandidate): boolean {
+        const own = this.opts.slots.runningOn(target.id);
+        return this.reports.stateOf(target.id) !== "draining" && own < this.healthOf(target).limit
+            && own + this.peers.runningOn(target.id) < target.slots;
+    }
+
+    isBackedOff(target: TargetCandidate): boolean {
+        return this.healthOf(target).isBackedOff;
+    }
+
+    isIdle(target: TargetCandidate): boolean {
+        return this.opts.slots.runningOn(target.id) === 0;
+    }
+
+    weightOf(target: TargetCandidate): number {
+        return this.healthOf(target).weight;
+    }
+
+    /** Expected load with one more request; lower is better. */
+    score(target: TargetCandidate): number {
+        return (this.estimate(target) + 1) / (target.slots * this.weightOf(target));
+    }
+
+    /** Free slots of targets that take work. */
+    freeSlots(targets: readonly TargetCandidate[]): number {
+        const usable = targets.filter(target => this.hasFreeSlot(target) && !this.isBackedOff(target));
+        return usable.reduce((sum, target) => sum + Math.max(0, target.slots - this.estimate(target)), 0);
+    }
+
+    /** Records a report that was asked for at the monotonic time `askedAt` in ms. */
+    recordReport(target: TargetCandidate, report: LoadReport, askedAt: number, knownAtAsk: number): void {
+        const before = this.reports.stateOf(target.id);
+        const known = Math.min(knownAtAsk, this.knownOn(target.id));
+        const ownRunning = this.opts.slots.runningOn(target.id);
+        const isNew = this.reports.record(target.id, { ...report, askedAt, known, ownRunning });
+        const returns = before === "draining" && report.state !== "draining";
+        if (isNew && (returns || (report.state === "cold" && before !== "cold"))) {
+            this.healthOf(target).startRamp();
+        }
+    }
+
+    /** Running requests of this host and its peers. */
+    knownOn(targetId: string): number {
+        return this.opts.slots.runningOn(targetId) + this.peers.runningOn(targetId);
+    }
+
+    recordOutcome(target: TargetCandidate, outcome: SlotOutcome): void {
+        if (outcome.end === "refused") {
+            this.reports.noteShed(target.id);
+        }
+        if (outcome.end === "complete") {
+            this.reports.noteComplete(target.id, this.opts.now() - outcome.latencyMs);
+        }
+        this.healthOf(target).record(outcome, target.slots, this.medianOf(target.service));
+    }
+
+    private estimate(target: TargetCandidate): number {
+        const others = Math.max(this.peers.runningOn(target.id), this.reports.othersOn(target.id));
+        return this.opts.slots.runningOn(target.id) + others;
+    }
+
+    private healthOf({ id, service }: TargetCandidate): TargetHealth {
+        let health = this.health.get(id);
+        if (health === undefined) {
+            health = new TargetHealth(service, this.opts.now, this.opts.random ?? Math.random);
+            this.health.set(id, health);
+        }
+        return health;
+    }
+
+    /** Median of the mean latencies of a service's targets, in ms. */
+    private medianOf(service: string): number | undefined {
+        const now = this.opts.now();
+        const kept = this.medians.get(service);
+        if (kept !== undefined && now - kept.at < MEDIAN_INTERVAL_MS) {
+            return kept.value;
+        }
+        const means = [...this.health.values()].filter(health => health.service === service)
+            .flatMap(health => health.meanLatencyMs ?? []).sort((a, b) => a - b);
+        const value = means[Math.floor((means.length - 1) / 2)];
+        this.medians.set(service, { value, at: now });
+        return value;
+    }
+}
