--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,6 +1,5 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
-import { EntryHostRanking } from "@pistachioreel/lookup";
 import { Failure, resultCodes } from "@pistachioreel/result-code";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
@@ -9,17 +8,17 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { FleetState } from "./fleetState.js";
+import type { LookupAnswer } from "./lookupAnswer.js";
 import { refuse } from "./refuse.js";
 import type { WorkspaceAdmission } from "./workspaceAdmission.js";
 
 interface CallerListenerOptions {
     readonly hostId: string;
-    readonly availabilityZone: string;
-    readonly region: string;
     readonly incarnation: string;
     readonly state: FleetState;
     readonly admission: WorkspaceAdmission;
     readonly delivery: Delivery;
+    readonly lookup: LookupAnswer;
     readonly metrics: EntryMetrics;
     readonly timeline: Timeline;
     readonly now: () => number;
@@ -33,7 +32,6 @@
 }
 
 const LOOKUP_PATH = "/v1/lookup";
-const LOOKUP_LIFETIME_SECONDS = 10;
 const HEADERS_TIMEOUT_MS = 5_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
@@ -102,12 +100,12 @@
             response.shouldKeepAlive = false;
         }
         if (request.method === "GET" && pathOf(request) === LOOKUP_PATH) {
-            this.answerLookup(response);
+            this.answerLookup(request, response);
             return;
         }
         const id = `${this.opts.hostId}-${this.opts.incarnation}-${++this.sequence}`;
         const startedAt = this.opts.now();
-        const admitted = this.admit(request);
+        const admitted = await this.limit(this.admit(request));
         if (admitted.isErr()) {
             this.refuseRequest(request, response, id, admitted.error);
             return;
@@ -188,6 +186,15 @@
         }));
     }
 
+    private async limit(allowed: Result<AdmittedRequest, Failure>): Promise<Result<AdmittedRequest, Failure>> {
+        const workspace = allowed.isOk() ? allowed.value.workspace : undefined;
+        if (workspace === undefined) {
+            return allowed;
+        }
+        const { admitted, retryAfterSeconds } = await this.opts.admission.admit(workspace);
+        return admitted ? allowed : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+    }
+
     private authenticate(request: IncomingMessage, route: Route): Result<{ workspace: string; key: string; }, Failure> {
         const key = bearerKey(request);
         if (key === undefined) {
@@ -200,10 +207,7 @@
         if (route.workspaces !== undefined && !route.workspaces.includes(workspace)) {
             return err(new Failure("workspaceMismatch"));
         }
-        const { admitted, retryAfterSeconds } = this.opts.admission.admit(workspace);
-        return admitted
-            ? ok({ workspace, key })
-            : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+        return ok({ workspace, key });
     }
 
     private refuseRequest(
@@ -230,20 +234,29 @@
         });
     }
 
-    private answerLookup(response: ServerResponse): void {
-        const { state, availabilityZone, region, hostId } = this.opts;
-        const listed = this.leaving ? state.hosts.filter(({ id }) => id !== hostId) : state.hosts;
-        const hosts = new EntryHostRanking(listed).rank({ availabilityZone, region });
-        const body = JSON.stringify({ hosts, lifetimeSeconds: LOOKUP_LIFETIME_SECONDS });
+    private answerLookup(request: IncomingMessage, response: ServerResponse): void {
+        const answer = this.opts.lookup.answer(clientOf(request), request.socket.remoteAddress);
+        if (answer.isErr()) {
+            refuse(response, answer.error);
+            return;
+        }
+        const body = JSON.stringify(answer.value);
         response.writeHead(200, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(body),
-            "cache-control": `max-age=${LOOKUP_LIFETIME_SECONDS}`,
+            // The answer depends on the caller's address, so shared caches must not keep it.
+            "cache-control": `private, max-age=${answer.value.lifetimeSeconds}`,
         });
         response.end(body);
     }
 }
 
+/** The `client` parameter of a lookup. */
+function clientOf(request: IncomingMessage): string | undefined {
+    const [, query] = (request.url ?? "").split("?", 2);
+    return query === undefined ? undefined : new URLSearchParams(query).get("client") ?? undefined;
+}
+
 function pathOf(request: IncomingMessage): string {
     return (request.url ?? "/").split("?", 1)[0] as string;
 }
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -7,11 +7,15 @@
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
+import { BlockMapFollower } from "./blockMapFollower.js";
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { FleetState } from "./fleetState.js";
+import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
+import { ListShares } from "./listShares.js";
+import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
@@ -34,6 +38,7 @@
     private readonly callers: CallerListener;
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
+    private readonly admission: WorkspaceAdmission;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -41,7 +46,10 @@
         const incarnation = newIncarnation();
         const timeline = new Timeline(hostId, incarnation);
         this.logger = new Logger(hostId, { level: settings.logLevel });
-        this.store = new HttpObjectStore(settings.store.url, { localAddress: settings.peers.address });
+        this.store = new HttpObjectStore(settings.store.url, {
+            localAddress: settings.peers.address,
+            token: settings.store.token,
+        });
         this.mesh = new WebSocketMesh({
             identity: { hostId, incarnation, availabilityZone, region },
             ...settings.peers,
@@ -81,9 +89,24 @@
             queue,
             now: monotonicNow,
         });
+        this.admission = new WorkspaceAdmission({
+            identity: { hostId, incarnation, availabilityZone, region },
+            state,
+            view: new ListShares(state, hostId),
+            mesh: this.mesh,
+            metrics,
+            now: monotonicNow,
+        });
+        const fitness = new HostFitness({
+            hostId,
+            mesh: this.mesh,
+            now: monotonicNow,
+            isLeaving: () => this.leaving,
+        });
         this.callers = new CallerListener({
             ...shared,
-            admission: new WorkspaceAdmission(state, monotonicNow),
+            lookup: new LookupAnswer({ ...shared, unfitHosts: () => fitness.unfitHosts() }),
+            admission: this.admission,
             delivery: this.delivery,
             now: monotonicNow,
         });
@@ -117,7 +140,9 @@
         await listen(this.callers.server, callers);
         const { store, state, logger } = this;
         const { signal } = this.stopping;
+        this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
+        void new BlockMapFollower({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         void this.sweep.run(signal);
         this.logger.info({
@@ -130,6 +155,7 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
+        this.mesh.beat();
         const { drainTimeoutMs } = this.settings;
         const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -60,6 +60,7 @@
         "it is not known whether the write took effect",
         "run the same command again",
     ),
+    storeDenied: code(2010, 403, "none", "the store does not allow the call", "check the store token and its rights"),
 
     // 3xxx: refusals of requests
     keyMissing: code(3001, 401, "not run", "the route needs a key", "send `Authorization: Bearer <key>`"),
@@ -107,6 +108,13 @@
         "the store did not take the claim of the request",
         "repeat with the same `Idempotency-Key`",
     ),
+    clientAddressInvalid: code(
+        3031,
+        400,
+        "not run",
+        "the client of a lookup is not an address",
+        "send an IPv4 or IPv6 address",
+    ),
 
     // 4xxx: requests that may have run
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
