--- a/delivery/test/atMostOnce.test.ts
+++ b/delivery/test/atMostOnce.test.ts
@@ -1,7 +1,7 @@
+import { DeliveryFleet } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { after, afterEach, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { DeliveryFleet } from "./deliveryFleet.js";
 
 const DEADLINE_MS = 3_000;
 const BODY = Buffer.from("two coops");
--- a/delivery/test/retries.test.ts
+++ b/delivery/test/retries.test.ts
@@ -1,7 +1,7 @@
+import { DeliveryFleet } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { after, afterEach, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { DeliveryFleet } from "./deliveryFleet.js";
 
 const FIRST_ATTEMPTS = 300;
 /** The larger of 10 % of the first attempts and 3 a second for 10 s. */
--- a/delivery/test/uploads.test.ts
+++ b/delivery/test/uploads.test.ts
@@ -1,6 +1,6 @@
+import { DeliveryFleet } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
-import { DeliveryFleet } from "./deliveryFleet.js";
 
 const MB = 1024 * 1024;
 let shop: DeliveryFleet;
--- a/entry/test/badInput.test.ts
+++ b/entry/test/badInput.test.ts
@@ -1,8 +1,8 @@
+import { DeliveryFleet } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { connect } from "node:net";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { DeliveryFleet } from "../../delivery/test/deliveryFleet.js";
 
 const REPLY_TIMEOUT_MS = 9_000;
 const MARKER = "x-marker: bad-input";
--- a/entry/test/plannedStop.test.ts
+++ b/entry/test/plannedStop.test.ts
@@ -1,9 +1,9 @@
+import { DeliveryFleet } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { get, type IncomingMessage } from "node:http";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { DeliveryFleet } from "../../delivery/test/deliveryFleet.js";
 
 const HOSTS = 10;
 const DRAIN_TIMEOUT_MS = 4_000;
--- a/delivery/test/deliveryFleet.ts
+++ b/testing/src/deliveryFleet.ts
@@ -1,4 +1,7 @@
-import { Caller, FaultProxy, Fleet, type FleetTarget, type TargetRecord } from "@pistachioreel/testing";
+import { Caller } from "./caller.js";
+import { FaultProxy } from "./faultProxy.js";
+import { Fleet, type FleetTarget } from "./fleet.js";
+import type { TargetRecord } from "./targetRecord.js";
 
 interface DeliveryFleetOptions {
     readonly hosts?: number;
@@ -70,6 +73,14 @@
         }
     }
 
+    async killTarget(index: number): Promise<void> {
+        await this.fleet.targets.get(`${this.targets[index]?.address}:${PORT}`)?.end("SIGKILL");
+    }
+
+    async restartTarget(index: number): Promise<void> {
+        await this.fleet.startTarget(this.targets[index] as FleetTarget);
+    }
+
     runsOf(marker: string): TargetRecord[] {
         return this.fleet.records().filter(record => record.marker === marker && record.event === "start");
     }
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -3,6 +3,7 @@
 export { checkRecords } from "./checkRecords.js";
 export { ChildProgram } from "./childProgram.js";
 export { countOverAdmitted } from "./countOverAdmitted.js";
+export { DeliveryFleet } from "./deliveryFleet.js";
 export { type ConnectionFault, FaultProxy } from "./faultProxy.js";
 export { Fleet, type FleetTarget } from "./fleet.js";
 export { LoopbackNetwork } from "./loopbackNetwork.js";
