--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -1,15 +1,14 @@
+import { capacityBench } from "./capacityBench.js";
+import { deliveryBench } from "./deliveryBench.js";
+import { limitsBench } from "./limitsBench.js";
+import { limitsFairnessBench } from "./limitsFairnessBench.js";
 import { passthroughBench } from "./passthroughBench.js";
+import { runNamed } from "./runNamed.js";
 
-type Bench = (args: readonly string[]) => Promise<unknown>;
-
-const benches: Readonly<Record<string, Bench>> = { passthrough: passthroughBench };
-
-const [name = "", ...args] = process.argv.slice(2);
-const bench = benches[name];
-if (bench === undefined) {
-    process.stderr.write(`usage: npm run bench -- ${Object.keys(benches).join("|")}\n`);
-    process.exitCode = 2;
-}
-else {
-    await bench(args);
-}
+await runNamed("bench", process.argv.slice(2), {
+    capacity: capacityBench,
+    delivery: deliveryBench,
+    limits: limitsBench,
+    "limits-fairness": limitsFairnessBench,
+    passthrough: passthroughBench,
+});
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,7 +4,7 @@
 
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 /** Tests start fleets of processes; more of them at once would measure the machine and not the program. */
-const CONCURRENCY = 3;
+const CONCURRENCY = 2;
 /** A test file that hangs fails instead of blocking the run. */
 const TIMEOUT_MS = 240_000;
 
