--- a/bench/src/deliveryFuzz.ts
+++ b/bench/src/deliveryFuzz.ts
@@ -56,24 +56,25 @@
     async replaceHost(host: number, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
         await this.shop.fleet.hosts[host]?.end(signal);
         await this.shop.fleet.startHost(host);
-        await this.shop.fleet.waitUntilReady(host);
     }
 
     async heal(): Promise<void> {
         await this.shop.fleet.setStoreFault({});
         await this.shop.setBehaviour({ workMs: 5, sheds: false, cutAfterBytes: 0, duplicateAfterMs: 0 });
         this.shop.proxies.forEach(proxy => proxy.setFault(() => ({ mode: "pass" })));
+        // A host that started while the store was down or slow has no configuration until now.
+        await Promise.all(this.shop.fleet.hosts.map((_, index) => this.shop.fleet.waitUntilReady(index)));
     }
 }
 
 const HOSTS = 3;
 const TARGETS = 2;
 const DEADLINE_MS = 1_500;
-const MAX_STEPS = 16;
+const MAX_STEPS = 24;
 
 const host = fc.nat({ max: HOSTS - 1 });
 const target = fc.nat({ max: TARGETS - 1 });
-const steps: fc.Arbitrary<fc.AsyncCommand<Model, FuzzedFleet>>[] = [
+const work: fc.Arbitrary<fc.AsyncCommand<Model, FuzzedFleet>>[] = [
     fc.tuple(host, fc.option(fc.nat({ max: 5 }), { nil: undefined }))
         .map(([at, repeated]) => new Step(`order(${at}, ${repeated})`, fuzzed => fuzzed.order(at, repeated))),
     fc.tuple(host, fc.nat({ max: 5 })).map(([at, marker]) =>
@@ -82,6 +83,8 @@
     fc.tuple(host, fc.nat({ max: 99 })).map(([at, index]) =>
         new Step(`read(${at}, ${index})`, fuzzed => fuzzed.read(at, index))
     ),
+];
+const faults: typeof work = [
     fc.nat({ max: 300 }).map(ms => new Step(`wait(${ms})`, () => sleep(ms))),
     fc.nat({ max: 400 }).map(workMs => new Step(`work(${workMs})`, ({ shop }) => shop.setBehaviour({ workMs }))),
     fc.constantFrom("none", "down", "lose-reply").map(mode =>
@@ -122,18 +125,21 @@
         drainTimeoutMs: 3_000,
     });
     let run = 0;
-    const property = fc.asyncProperty(fc.commands(steps, { maxCommands: MAX_STEPS }), async commands => {
-        const fuzzed = new FuzzedFleet(shop, run++);
-        await fc.asyncModelRun(() => ({ model: { orders: 0 }, real: fuzzed }), commands);
-        await Promise.all(fuzzed.running);
-        await fuzzed.heal();
-        await sleep(DEADLINE_MS);
-        return violationsOf(shop) === 0;
-    });
+    const property = fc.asyncProperty(
+        fc.commands([...work, ...work, ...faults], { maxCommands: MAX_STEPS, size: "max" }),
+        async commands => {
+            const fuzzed = new FuzzedFleet(shop, run++);
+            await fc.asyncModelRun(() => ({ model: { orders: 0 }, real: fuzzed }), commands);
+            await Promise.all(fuzzed.running);
+            await fuzzed.heal();
+            await sleep(DEADLINE_MS);
+            return violationsOf(shop) === 0;
+        },
+    );
     try {
         const details = await fc.check(property, { seed, numRuns: runs, endOnFailure: true });
         if (details.failed) {
-            process.stdout.write(`${fc.stringify(details.counterexample)}\n`);
+            process.stdout.write(`${fc.stringify(details.counterexample)} ${String(details.errorInstance ?? "")}\n`);
         }
         const violations = violationsOf(shop);
         process.stdout.write(`requests=${shop.caller.records.length} runs=${run}\n`);
