Work out the capacity page from measured slopes

Cause: the page held the lookup part only. Change: host and fleet parts of the capacity bench print each point as it is measured; the page has memory, processor time, bytes and store calls with their slopes, what does not fit, and the runs that failed.

--- a/bench/src/fleetCapacity.ts
+++ b/bench/src/fleetCapacity.ts
@@ -37,11 +37,16 @@
 const REST_MS = 10_000;
 const ZONES = 6;
 
-/** Fleets at rest, one after the other. */
-export async function measureFleets(sizes: readonly number[]): Promise<FleetCapacity> {
+/** Fleets at rest, one after the other; `onPoint` is told of each, as a later one can fail on a busy machine. */
+export async function measureFleets(
+    sizes: readonly number[],
+    onPoint: (point: FleetPoint) => void,
+): Promise<FleetCapacity> {
     const points: FleetPoint[] = [];
     for (const size of sizes) {
-        points.push(await measureFleet(size));
+        const point = await measureFleet(size);
+        onPoint(point);
+        points.push(point);
     }
     const fit = (value: (point: FleetPoint) => number) => linearFit(points.map(point => [point.hosts, value(point)]));
     return {
