--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -3,7 +3,6 @@
 import { Logger } from "@pistachioreel/logging";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
-import { FairTargetQueue, NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
@@ -14,6 +13,7 @@
 import { FleetState } from "./fleetState.js";
 import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
+import { HostSteering } from "./hostSteering.js";
 import { ListShares } from "./listShares.js";
 import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
@@ -39,6 +39,7 @@
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
     private readonly admission: WorkspaceAdmission;
+    private readonly steering: HostSteering;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -59,22 +60,15 @@
                 this.logger.info({ event, fields });
             },
         });
-        const slots = new SlotLedger();
-        const { state, metrics } = this;
-        const queue = new FairTargetQueue({
-            chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-            slots,
-            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-            weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
+        const { state, metrics, mesh } = this;
+        this.steering = new HostSteering({
+            self: { hostId, incarnation, availabilityZone, region },
+            state,
+            mesh,
+            localAddress: settings.peers.address,
             now: monotonicNow,
         });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
-        const fitness = new HostFitness({
-            hostId,
-            mesh: this.mesh,
-            now: monotonicNow,
-            isLeaving: () => this.leaving,
-        });
         const observe: DeliveryObserver = (event, observed) => {
             metrics.delivery.inc({ event });
             timeline.record(event, observed);
@@ -89,9 +83,10 @@
             hostId,
             pools: this.pools,
             store: this.store,
+            mesh: this.mesh,
             hostCount: () => state.hosts.length,
             observe,
-            queue,
+            queue: this.steering.queue,
             now: monotonicNow,
         });
         this.admission = new WorkspaceAdmission({
@@ -102,6 +97,12 @@
             metrics,
             now: monotonicNow,
         });
+        const fitness = new HostFitness({
+            hostId,
+            mesh: this.mesh,
+            now: monotonicNow,
+            isLeaving: () => this.leaving,
+        });
         this.callers = new CallerListener({
             ...shared,
             lookup: new LookupAnswer({ ...shared, unfitHosts: () => fitness.unfitHosts() }),
@@ -113,6 +114,7 @@
             ...shared,
             store: this.store,
             mesh: this.mesh,
+            steering: this.steering,
             isReady: () => this.isReady,
         });
         state.onChange(name => {
@@ -121,7 +123,6 @@
             this.logger.info({ event: "document-in-force", fields });
             if (name === "config") {
                 this.retainPools();
-                queue.wake();
             }
         });
     }
@@ -142,6 +143,7 @@
         this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
         void new BlockMapFollower({ store, state, logger, signal }).run();
+        void this.steering.run(signal);
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         void this.sweep.run(signal);
         this.logger.info({
--- a/entry/test/lookup.test.ts
+++ b/entry/test/lookup.test.ts
@@ -80,7 +80,7 @@
 
 test("a client that is not an address is refused with its result code", async () => {
     const { status, body } = await lookup("10.0.0");
-    assert.deepEqual([status, body.code], [400, 3060]);
+    assert.deepEqual([status, body.code], [400, 3031]);
 });
 
 test("a map with an unknown site is refused and changes nothing", async () => {
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -109,7 +109,7 @@
         "repeat with the same `Idempotency-Key`",
     ),
     clientAddressInvalid: code(
-        3060,
+        3031,
         400,
         "not run",
         "the client of a lookup is not an address",
