Add the bench of steering, and stop hoarding permits and slots

Hosts near a region's cap asked for more permits than they needed and kept them idle for 300 ms, so most requests waited for permits. The reserve of slots counted the slots of all regions against the free slots of one, and made a workspace wait although other regions were free; with the own region lost, it waited until its deadline.

Change: a host asks for one permit and a quarter of those it uses, idle ones go back after 40 ms, an eighth of a region's permits is not lent to other regions. The reserve covers the own region only. The bench runs six hosts in one process with the delays of the deployments against 12 target processes, with random choice, round robin, least outstanding on own counts and an all-knowing chooser as comparison.

Not in the bench: a zone cut off, drain of a region, drain time and shift per interval with real processes.

--- /dev/null
+++ b/bench/src/delayedMesh.ts
@@ -0,0 +1,66 @@
+import type { HeartbeatPart, PeerHandler, PeerIdentity, PeerMesh, PeerMessage } from "@pistachioreel/peering";
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const ZONE_DELAY_MS = 1;
+const REGION_DELAY_MS = 15;
+const HEARTBEAT_MS = 500;
+
+/** Links between hosts in one process with the one-way delays of the deployments. */
+export class DelayedMesh implements PeerMesh {
+    private readonly handlers = new Map<string, PeerHandler>();
+    private readonly parts = new Map<string, HeartbeatPart>();
+    private readonly timer = setInterval(() => this.beat(), HEARTBEAT_MS);
+
+    constructor(private readonly self: PeerIdentity, private readonly fleet: Map<string, DelayedMesh>) {
+        fleet.set(self.hostId, this);
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+        this.fleet.delete(this.self.hostId);
+    }
+
+    peers(): PeerIdentity[] {
+        return [...this.fleet.values()].filter(mesh => mesh !== this).map(mesh => mesh.self);
+    }
+
+    send(hostId: string, message: PeerMessage): boolean {
+        void this.request(hostId, message);
+        return true;
+    }
+
+    async request(hostId: string, message: PeerMessage): Promise<Result<PeerMessage, Failure>> {
+        const delayMs = this.delayTo(hostId);
+        await sleep(delayMs);
+        const answer = await this.fleet.get(hostId)?.handlers.get(message.type)?.(this.self, message);
+        await sleep(delayMs);
+        return answer === undefined ? err(new Failure("peerUnreachable")) : ok(answer);
+    }
+
+    handle(type: string, handler: PeerHandler): void {
+        this.handlers.set(type, handler);
+    }
+
+    attach(name: string, part: HeartbeatPart): void {
+        this.parts.set(name, part);
+    }
+
+    beat(): void {
+        const sentAt = performance.now();
+        for (const { hostId } of this.peers()) {
+            for (const [name, part] of this.parts) {
+                const payload = part.payload();
+                const deliver = () => this.fleet.get(hostId)?.parts.get(name)?.receive(this.self, payload, sentAt);
+                setTimeout(deliver, this.delayTo(hostId));
+            }
+        }
+    }
+
+    onPeersChange(): void {}
+
+    private delayTo(hostId: string): number {
+        return this.fleet.get(hostId)?.self.region === this.self.region ? ZONE_DELAY_MS : REGION_DELAY_MS;
+    }
+}
--- /dev/null
+++ b/bench/src/steeringBench.ts
@@ -0,0 +1,224 @@
+import type { PeerIdentity } from "@pistachioreel/peering";
+import { SlotLedger } from "@pistachioreel/steering";
+import { ChildProgram, LoopbackNetwork } from "@pistachioreel/testing";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import type { DelayedMesh } from "./delayedMesh.js";
+import { type BenchTarget, SteeringHost } from "./steeringHost.js";
+
+interface SteeringResult {
+    readonly scenario: string;
+    readonly policy: string;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly worstWorkspaceP99Ms: number;
+    readonly refused: number;
+    readonly sheds: number;
+    /** Largest share of slots in use, of a target and of a region. */
+    readonly fullestTarget: number;
+    readonly fullestRegion: number;
+    /** Longest time in ms that a target was above its slots while another of its zone had a free one. */
+    readonly overrunMs: number;
+    /** Largest number of requests that a region ran at once. */
+    readonly mostInRegion: number;
+}
+
+interface Scenario {
+    readonly hotFactor?: number;
+    /** Changes targets after a second. */
+    readonly disturb?: (targets: readonly BenchTarget[], programs: readonly ChildProgram[]) => Promise<void>;
+}
+
+const REGIONS = ["perth", "bunbury", "albany"];
+const TARGETS_PER_REGION = 4;
+const HOSTS_PER_REGION = 2;
+const SLOTS = 4;
+const REGION_CAP = 16;
+/** Long, so that delays of a busy machine weigh little. */
+const WORK_MS = 150;
+const WORKSPACES = ["a", "b", "c", "d"];
+/** Requests a second of each workspace at each host; all of them use 0.53 of the slots. */
+const RATE = 7;
+const DEFAULT_RUN_MS = 5_000;
+const SAMPLE_MS = 20;
+const TARGET_GROUP = 2;
+const PORT = 8080;
+const POLICIES = ["random", "round-robin", "least-own", "all-knowing", "own"];
+
+const scenarios: Readonly<Record<string, Scenario>> = {
+    "steady": {},
+    "hot workspace": { hotFactor: 5 },
+    "lying reports": {
+        disturb: async targets => {
+            await Promise.all(
+                targets.filter((_, i) => i % TARGETS_PER_REGION === 0)
+                    .map(target => setBehaviour(target, { reportedRunning: 0, sheds: true })),
+            );
+        },
+    },
+    "cold return": {
+        disturb: async targets => {
+            await Promise.all(
+                targets.filter((_, i) => i % TARGETS_PER_REGION === 0)
+                    .map(target => setBehaviour(target, { coldMs: 250, coldRequests: 1_000_000 })),
+            );
+        },
+    },
+    "region lost": {
+        disturb: async (_, programs) => {
+            await Promise.all(programs.slice(0, TARGETS_PER_REGION).map(program => program.end("SIGKILL")));
+        },
+    },
+};
+
+/** Compares the policies in each scenario; arguments: run time in ms, then names of scenarios. */
+export async function steeringBench(args: readonly string[]): Promise<SteeringResult[]> {
+    const runMs = Number(args[0] ?? DEFAULT_RUN_MS);
+    const results: SteeringResult[] = [];
+    for (const name of args.length > 1 ? args.slice(1) : Object.keys(scenarios)) {
+        for (const policy of POLICIES) {
+            const result = await run(name, policy, runMs);
+            results.push(result);
+            process.stdout.write(`${Object.entries(result).map(([key, value]) => `${key}=${value}`).join(" ")}\n`);
+        }
+    }
+    return results;
+}
+
+async function run(name: string, policy: string, runMs: number): Promise<SteeringResult> {
+    const { hotFactor = 1, disturb } = scenarios[name] ?? {};
+    const network = new LoopbackNetwork();
+    const targets = REGIONS.flatMap((region, group) =>
+        Array.from({ length: TARGETS_PER_REGION }, (_, i): BenchTarget => ({
+            id: `${network.address(TARGET_GROUP, group * TARGETS_PER_REGION + i)}:${PORT}`,
+            service: "catalogue",
+            availabilityZone: `${region}-a`,
+            region,
+            slots: SLOTS,
+            state: "live",
+        }))
+    );
+    const programs = await Promise.all(targets.map(startTarget));
+    const all = new SlotLedger();
+    const meshes = new Map<string, DelayedMesh>();
+    const identities = REGIONS.flatMap(region =>
+        Array.from({ length: HOSTS_PER_REGION }, (_, i): PeerIdentity => ({
+            hostId: `${region}-${i}`,
+            incarnation: `${region}-${i}-1`,
+            availabilityZone: `${region}-a`,
+            region,
+        }))
+    );
+    const hosts: SteeringHost[] = identities.map(identity => {
+        const weightOf = () => 1;
+        return new SteeringHost({
+            identity,
+            policy,
+            targets,
+            hosts: identities,
+            all,
+            meshes,
+            regionCap: REGION_CAP,
+            weightOf,
+            onRelease: () => policy === "all-knowing" && hosts.forEach(host => host.wake()),
+        });
+    });
+    // Hosts own no permits until they have heard from each other.
+    await sleep(500);
+    const samples = new Samples(targets, all);
+    const timer = setInterval(() => samples.take(), SAMPLE_MS);
+    const disturbed = disturb === undefined ? undefined : sleep(1_000).then(() => disturb(targets, programs));
+    const work = await offer(hosts, runMs, hotFactor);
+    await disturbed;
+    await Promise.all(work);
+    clearInterval(timer);
+    await Promise.all([...hosts.map(host => host.close()), ...programs.map(program => program.end("SIGKILL"))]);
+    return summarize(name, policy, hosts, samples);
+}
+
+/** Sends requests with exponential gaps; the first workspace sends `hotFactor` times its rate. */
+async function offer(hosts: readonly SteeringHost[], runMs: number, hotFactor: number): Promise<Promise<void>[]> {
+    const work: Promise<void>[] = [];
+    const sources = hosts.flatMap(host =>
+        WORKSPACES.map((workspace, i) => ({ host, workspace, rate: RATE * (i === 0 ? hotFactor : 1), dueMs: 0 }))
+    );
+    const startedAt = performance.now();
+    for (let elapsedMs = 0; elapsedMs < runMs; elapsedMs = performance.now() - startedAt) {
+        for (const source of sources) {
+            for (; source.dueMs <= elapsedMs; source.dueMs += -Math.log(1 - Math.random()) * 1_000 / source.rate) {
+                work.push(source.host.send(source.workspace));
+            }
+        }
+        await sleep(1);
+    }
+    return work;
+}
+
+/** True use of slots over the time of a run. */
+class Samples {
+    fullestTarget = 0;
+    mostInRegion = 0;
+    overrunMs = 0;
+    private overrunSince: number | undefined;
+
+    constructor(private readonly targets: readonly BenchTarget[], private readonly all: SlotLedger) {}
+
+    take(): void {
+        let isOverrun = false;
+        for (const region of REGIONS) {
+            const running = this.targets.filter(target => target.region === region)
+                .map(target => this.all.runningOn(target.id));
+            this.fullestTarget = Math.max(this.fullestTarget, ...running.map(count => count / SLOTS));
+            this.mostInRegion = Math.max(this.mostInRegion, running.reduce((sum, count) => sum + count, 0));
+            isOverrun ||= Math.max(...running) > SLOTS && Math.min(...running) < SLOTS;
+        }
+        const now = performance.now();
+        this.overrunSince = isOverrun ? this.overrunSince ?? now : undefined;
+        this.overrunMs = Math.max(this.overrunMs, now - (this.overrunSince ?? now));
+    }
+}
+
+function summarize(
+    scenario: string,
+    policy: string,
+    hosts: readonly SteeringHost[],
+    samples: Samples,
+): SteeringResult {
+    const of = (workspace: string) => hosts.flatMap(host => host.latencies.get(workspace) ?? []);
+    const calm = WORKSPACES.slice(1);
+    const values = calm.flatMap(of);
+    const round = (value: number) => Math.round(value * 10) / 10;
+    return {
+        scenario,
+        policy,
+        p50Ms: round(percentile(values, 0.5)),
+        p99Ms: round(percentile(values, 0.99)),
+        worstWorkspaceP99Ms: round(Math.max(...calm.map(workspace => percentile(of(workspace), 0.99)))),
+        refused: hosts.reduce((sum, host) => sum + host.refused, 0),
+        sheds: hosts.reduce((sum, host) => sum + host.sheds, 0),
+        fullestTarget: samples.fullestTarget,
+        fullestRegion: samples.mostInRegion / (TARGETS_PER_REGION * SLOTS),
+        overrunMs: Math.round(samples.overrunMs),
+        mostInRegion: samples.mostInRegion,
+    };
+}
+
+function percentile(values: number[], share: number): number {
+    return [...values].sort((a, b) => a - b)[Math.floor(values.length * share)] ?? NaN;
+}
+
+async function startTarget({ id }: BenchTarget): Promise<ChildProgram> {
+    const [address = "", port = ""] = id.split(":");
+    const behaviour = JSON.stringify({ workMs: WORK_MS });
+    const args = ["dist/standIn.cjs", "target", "--address", address, "--port", port];
+    args.push("--slots", String(SLOTS), "--behaviour", behaviour);
+    return new ChildProgram(process.execPath, args, { readyLine: "listening" }).started();
+}
+
+async function setBehaviour({ id }: BenchTarget, behaviour: object): Promise<void> {
+    const response = await request(`http://${id}/control/behaviour`, {
+        method: "POST",
+        body: JSON.stringify(behaviour),
+    });
+    await response.body.dump();
+}
--- /dev/null
+++ b/bench/src/steeringHost.ts
@@ -0,0 +1,198 @@
+import type { PeerIdentity } from "@pistachioreel/peering";
+import {
+    FairTargetQueue,
+    LoadExchange,
+    loadReportSchema,
+    NearestLeastLoaded,
+    RegionPermits,
+    SlotLedger,
+    type SlotOutcome,
+    type TargetCandidate,
+    TargetLoads,
+} from "@pistachioreel/steering";
+import { Agent, request } from "undici";
+import { DelayedMesh } from "./delayedMesh.js";
+import { steeringPolicies } from "./steeringPolicies.js";
+
+/** A target of the bench. */
+export interface BenchTarget extends TargetCandidate {
+    readonly state: "live";
+}
+
+interface SteeringHostOptions {
+    readonly identity: PeerIdentity;
+    /** A baseline of `steeringPolicies`, or `own`. */
+    readonly policy: string;
+    readonly targets: readonly BenchTarget[];
+    readonly hosts: readonly PeerIdentity[];
+    /** True counts of all hosts. */
+    readonly all: SlotLedger;
+    readonly meshes: Map<string, DelayedMesh>;
+    /** Requests that a region may run. */
+    readonly regionCap: number;
+    /** Called when any request has ended; the all-knowing chooser learns it at once. */
+    readonly onRelease: () => void;
+    readonly weightOf: (workspace: string) => number;
+}
+
+const DEADLINE_MS = 2_000;
+const MAX_ATTEMPTS = 3;
+const POLL_INTERVAL_MS = 1_000;
+
+/** One entry host of the bench: queue and choice of target as in an entry process, with real requests to targets. */
+export class SteeringHost {
+    readonly latencies = new Map<string, number[]>();
+    refused = 0;
+    sheds = 0;
+    private readonly releases: { readonly id: string; readonly release: () => void; }[] = [];
+    private readonly own = new SlotLedger();
+    private readonly loads = new TargetLoads({ slots: this.own, now });
+    private readonly agent = new Agent({ connections: 64, pipelining: 1 });
+    private readonly stopping = new AbortController();
+    private readonly mesh: DelayedMesh;
+    private readonly queue: FairTargetQueue<BenchTarget>;
+
+    constructor(private readonly opts: SteeringHostOptions) {
+        const { identity, policy, targets, all } = opts;
+        this.mesh = new DelayedMesh(identity, opts.meshes);
+        const baseline = steeringPolicies[policy];
+        const exchange = baseline === undefined ? this.createExchange() : undefined;
+        const permits = baseline === undefined ? this.createPermits() : undefined;
+        this.queue = new FairTargetQueue<BenchTarget>({
+            chooser: baseline?.({ ...identity, own: this.own, all }) ?? new NearestLeastLoaded({
+                ...identity,
+                loads: this.loads,
+            }),
+            slots: this.own,
+            permits,
+            isNear: ({ region }) => region === identity.region,
+            freeShare: list => this.loads.freeShare(list),
+            weightOf: opts.weightOf,
+            targetsOf: () => targets,
+            onDispatch: target => {
+                this.releases.push({ id: target.id, release: all.take(target.id) });
+                exchange?.noteChange(target.id);
+            },
+            onOutcome: (target, outcome) => {
+                const index = this.releases.findIndex(({ id }) => id === target.id);
+                this.releases.splice(index, 1)[0]?.release();
+                opts.onRelease();
+                this.loads.recordOutcome(target, outcome);
+                exchange?.noteChange(target.id);
+            },
+            now,
+        });
+        if (exchange !== undefined) {
+            const near = targets.filter(target => target.region === identity.region);
+            exchange.setAsked(near.map(target => target.id));
+            const timer = setInterval(() => near.forEach(target => void this.poll(target)), POLL_INTERVAL_MS);
+            this.stopping.signal.addEventListener("abort", () => clearInterval(timer));
+        }
+        void permits?.run(this.stopping.signal);
+    }
+
+    /** Places waiting requests. */
+    wake(): void {
+        this.queue.wake();
+    }
+
+    async send(workspace: string): Promise<void> {
+        const startedAt = now();
+        const excluded = new Set<string>();
+        for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+            const grant = await this.queue.acquire({
+                service: "catalogue",
+                workspace,
+                priority: "normal",
+                deadlineAt: startedAt + DEADLINE_MS,
+                excluded,
+                signal: new AbortController().signal,
+            });
+            if (grant.isErr()) {
+                break;
+            }
+            const { target, release } = grant.value;
+            excluded.add(target.id);
+            const sentAt = now();
+            const end = await this.exchange(target.id);
+            release({ end, latencyMs: now() - sentAt });
+            if (end === "complete") {
+                const values = this.latencies.get(workspace) ?? [];
+                this.latencies.set(workspace, values);
+                values.push(now() - startedAt);
+                return;
+            }
+            this.sheds += end === "refused" ? 1 : 0;
+        }
+        this.refused++;
+    }
+
+    async close(): Promise<void> {
+        this.stopping.abort();
+        this.mesh.close();
+        await this.agent.destroy();
+    }
+
+    private createExchange(): LoadExchange {
+        return new LoadExchange({
+            mesh: this.mesh,
+            availabilityZone: this.opts.identity.availabilityZone,
+            slots: this.own,
+            loads: this.loads,
+            findTarget: id => this.opts.targets.find(target => target.id === id),
+            onCounts: () => this.queue.wake(),
+            now,
+        });
+    }
+
+    private createPermits(): RegionPermits {
+        const { identity, hosts, regionCap } = this.opts;
+        const ownersOf = (region: string) => hosts.filter(host => host.region === region).map(host => host.hostId);
+        return new RegionPermits({
+            ...identity,
+            mesh: this.mesh,
+            isUncapped: () => false,
+            ownersOf,
+            ownedPermits: region => {
+                const owners = ownersOf(region);
+                return owners.includes(identity.hostId) ? Math.floor(regionCap / owners.length) : 0;
+            },
+            possibleHolders: () => hosts.map(host => host.hostId).filter(id => id !== identity.hostId),
+            maxRunMs: () => DEADLINE_MS,
+            onChange: () => this.queue.wake(),
+            now,
+        });
+    }
+
+    private async exchange(targetId: string): Promise<SlotOutcome["end"]> {
+        try {
+            const signal = AbortSignal.timeout(DEADLINE_MS);
+            const response = await request(`http://${targetId}/work`, { dispatcher: this.agent, signal });
+            await response.body.dump();
+            return response.statusCode === 200 ? "complete" : "refused";
+        }
+        catch (error) {
+            const isUnsent = error instanceof Error && "code" in error && error.code === "ECONNREFUSED";
+            return isUnsent ? "unsent" : "broken";
+        }
+    }
+
+    private async poll(target: BenchTarget): Promise<void> {
+        const askedAt = now();
+        const known = this.loads.knownOn(target.id);
+        try {
+            const response = await request(`http://${target.id}/load`, { dispatcher: this.agent });
+            const report = loadReportSchema.safeParse(await response.body.json());
+            if (report.success) {
+                this.loads.recordReport(target, report.data, askedAt, known);
+            }
+        }
+        catch {
+            // The scenario has ended the target.
+        }
+    }
+}
+
+function now(): number {
+    return performance.now();
+}
--- /dev/null
+++ b/bench/src/steeringPolicies.ts
@@ -0,0 +1,45 @@
+import { type SlotLedger, type TargetCandidate, type TargetChooser } from "@pistachioreel/steering";
+
+interface PolicyOptions {
+    readonly availabilityZone: string;
+    readonly region: string;
+    /** Requests that the host has running. */
+    readonly own: SlotLedger;
+    /** Requests that all hosts have running; only the all-knowing chooser reads it. */
+    readonly all: SlotLedger;
+}
+
+type Pick = <T extends TargetCandidate>(free: readonly T[]) => T | undefined;
+
+/** Baselines: the nearest targets with a free slot by own counts, or by true counts for the all-knowing chooser. */
+export const steeringPolicies: Readonly<Record<string, (opts: PolicyOptions) => TargetChooser>> = {
+    "random": opts => nearest(opts, opts.own, pickRandom),
+    "round-robin": opts => {
+        let turn = 0;
+        return nearest(opts, opts.own, free => free[turn++ % free.length]);
+    },
+    "least-own": opts => nearest(opts, opts.own, free => leastLoaded(free, opts.own)),
+    "all-knowing": opts => nearest(opts, opts.all, free => leastLoaded(free, opts.all)),
+};
+
+function nearest({ availabilityZone, region }: PolicyOptions, counts: SlotLedger, pick: Pick): TargetChooser {
+    const distance = (target: TargetCandidate) =>
+        target.availabilityZone === availabilityZone ? 0 : target.region === region ? 1 : 2;
+    return {
+        choose: candidates => {
+            const free = candidates.filter(target => counts.runningOn(target.id) < target.slots);
+            const least = Math.min(...free.map(distance));
+            return pick(free.filter(target => distance(target) === least));
+        },
+    };
+}
+
+function pickRandom<T>(free: readonly T[]): T | undefined {
+    return free[Math.floor(Math.random() * free.length)];
+}
+
+function leastLoaded<T extends TargetCandidate>(free: readonly T[], counts: SlotLedger): T | undefined {
+    const load = (target: T) => counts.runningOn(target.id) / target.slots;
+    const least = Math.min(...free.map(load));
+    return pickRandom(free.filter(target => load(target) === least));
+}
--- a/entry/src/hostSteering.ts
+++ b/entry/src/hostSteering.ts
@@ -62,7 +62,8 @@
             permits: this.permits,
             shareOf: target => this.shifts.shareOf(target),
             targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-            freeSlots: targets => loads.freeSlots(targets.filter(({ region }) => region === self.region)),
+            isNear: ({ region }) => region === self.region,
+            freeShare: targets => loads.freeShare(targets),
             weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
             onDispatch: target => this.exchange.noteChange(target.id),
             onOutcome: (target, outcome) => {
--- a/steering/src/fairTargetQueue.ts
+++ b/steering/src/fairTargetQueue.ts
@@ -35,8 +35,10 @@
     readonly permits?: Permits;
     /** Share of its usual traffic that a target gets; 1 by default. */
     readonly shareOf?: (target: T) => number;
-    /** Free slots of the targets, as far as this host knows; by its own counts by default. */
-    readonly freeSlots?: (targets: readonly T[]) => number;
+    /** Whether a target belongs to those that the reserve of slots is kept on; all do by default. */
+    readonly isNear?: (target: T) => boolean;
+    /** Share of the targets' slots that are free, from 0 to 1; by own counts by default. */
+    readonly freeShare?: (targets: readonly T[]) => number;
     /** Part of the slots that a workspace is entitled to, relative to others, for example its rate; 1 by default. */
     readonly weightOf?: (workspace: string) => number;
     readonly onDispatch?: (target: T) => void;
@@ -144,14 +146,12 @@
             waiter.settle(err(new Failure("noTarget")));
             return "taken";
         }
-        if (this.mustLeaveReserve(waiter.workspace, live, queue)) {
-            return "skipped";
-        }
-        const isFull = excluded.size === 0 ? "exhausted" : "skipped";
-        const target = this.chooseWithPermit(this.withoutMoved(candidates, waiter.position));
+        const target = this.chooseWithPermit(
+            this.withoutReserve(this.withoutMoved(candidates, waiter.position), waiter.workspace, queue),
+        );
         const givePermitBack = target && (this.opts.permits?.take(target.region) ?? (() => {}));
         if (target === undefined || givePermitBack === undefined) {
-            return isFull;
+            return excluded.size === 0 && !this.isOverItsPart(waiter.workspace, queue) ? "exhausted" : "skipped";
         }
         waiter.settle(ok(this.grant(target, waiter, queue, givePermitBack)));
         return "taken";
@@ -208,19 +208,26 @@
         return { target, release };
     }
 
-    private mustLeaveReserve(workspace: string, live: readonly T[], { running }: ServiceQueue<T>): boolean {
+    /** Leaves out near targets for a workspace that has to leave the reserve free; it can still use others. */
+    private withoutReserve(candidates: readonly T[], workspace: string, queue: ServiceQueue<T>): readonly T[] {
+        const isNear = this.opts.isNear ?? (() => true);
+        if (!this.isOverItsPart(workspace, queue) || this.freeShare(candidates.filter(isNear)) > RESERVED_SHARE) {
+            return candidates;
+        }
+        return candidates.filter(target => !isNear(target));
+    }
+
+    private isOverItsPart(workspace: string, { running }: ServiceQueue<T>): boolean {
         const weightOf = (name: string) => this.opts.weightOf?.(name) ?? 1;
         const others = sum([...running.keys()].filter(name => name !== workspace).map(weightOf));
         const part = weightOf(workspace) / (weightOf(workspace) + others);
-        if (others === 0 || (running.get(workspace) ?? 0) <= part * sum([...running.values()])) {
-            return false;
-        }
-        return this.freeSlots(live) <= Math.floor(RESERVED_SHARE * sum(live.map(target => target.slots)));
+        // One request more than the part is no sign of a busy workspace where few are running.
+        return others > 0 && (running.get(workspace) ?? 0) - 1 > part * sum([...running.values()]);
     }
 
-    private freeSlots(live: readonly T[]): number {
+    private freeShare(live: readonly T[]): number {
         const free = (target: T) => Math.max(0, target.slots - this.opts.slots.runningOn(target.id));
-        return this.opts.freeSlots?.(live) ?? sum(live.map(free));
+        return this.opts.freeShare?.(live) ?? sum(live.map(free)) / sum(live.map(target => target.slots));
     }
 
     private checkForLapses(): void {
--- a/steering/src/permitHoldings.ts
+++ b/steering/src/permitHoldings.ts
@@ -19,8 +19,11 @@
     readonly returned: number;
 }
 
-/** Permits that no request has needed for this time in ms go back to their owner. */
-const IDLE_MS = 300;
+/**
+ * Permits that no request has needed for this time in ms go back to their owner. Permits that lie idle are missing
+ * elsewhere: with 300 ms, hosts near the cap borrowed each other's permits in turns and most requests waited.
+ */
+const IDLE_MS = 40;
 
 /** Permits that this host has borrowed. */
 export class PermitHoldings {
--- a/steering/src/permitOwner.ts
+++ b/steering/src/permitOwner.ts
@@ -16,6 +16,8 @@
 
 /** Most permits of one grant; bounds what a borrower that dies keeps from the others. */
 const MAX_GRANT = 16;
+/** Share of the capacity that is not lent to other regions. */
+const LOCAL_RESERVE = 0.125;
 
 /**
  * Permits of one region that this host owns: each allows one running request. At every moment the permits in use here
@@ -39,9 +41,14 @@
         this.local--;
     }
 
-    /** Debits permits for a borrower; half of what is available stays here. Returns their number, which may be 0. */
-    lend(id: string, wanted: number): number {
-        const count = Math.min(wanted, MAX_GRANT, Math.ceil(this.available / 2));
+    /**
+     * Debits permits for a borrower; half of what is available stays here. A borrower of another region also leaves the
+     * reserve, as the region's own work comes first. Returns the number of permits, which may be 0.
+     */
+    lend(id: string, wanted: number, isNear: boolean): number {
+        const reserve = isNear ? 0 : Math.ceil(this.opts.capacity() * LOCAL_RESERVE);
+        const lendable = Math.max(0, this.available - reserve);
+        const count = Math.min(wanted, MAX_GRANT, Math.ceil(lendable / 2));
         if (count > 0) {
             this.lent.set(id, { count, returned: 0, until: this.opts.now() + this.opts.maxHoldMs() });
         }
--- a/steering/src/regionPermits.ts
+++ b/steering/src/regionPermits.ts
@@ -25,6 +25,7 @@
 }
 
 const REQUEST = "permit-request";
+const GRANT = "permit-grant";
 const RETURN = "permit-return";
 const HELD = "permits-held";
 /** A borrower may start requests with a grant for this time in ms after it SENT its request. */
@@ -34,7 +35,7 @@
 const ANSWER_TIMEOUT_MS = 1_000;
 /** A host that granted nothing is not asked for the same region again for this time in ms. */
 const REFUSED_MS = 50;
-const TICK_MS = 100;
+const TICK_MS = 20;
 const MAX_WANTED = 16;
 /** Held permits that lapse within this time in ms are renewed before they are needed. */
 const RENEW_MS = 500;
@@ -63,7 +64,7 @@
         this.holdings = new PermitHoldings(now, ({ owner, region, id, returned }) => {
             mesh.send(owner, { type: RETURN, region, id, returned });
         });
-        mesh.handle(REQUEST, (_, message) => this.answerRequest(message));
+        mesh.handle(REQUEST, (from, message) => this.answerRequest(from, message));
         mesh.handle(RETURN, (_, message) => this.takeBack(message));
         mesh.handle(HELD, from => this.answerHeld(from));
     }
@@ -128,7 +129,7 @@
 
     private async borrow(region: string, owner: string): Promise<void> {
         const sentAt = this.opts.now();
-        const wanted = Math.min(MAX_WANTED, 2 * (this.holdings.inUseFor(region) + 1));
+        const wanted = Math.min(MAX_WANTED, 1 + Math.floor(this.holdings.inUseFor(region) / 4));
         const answer = await this.opts.mesh.request(owner, { type: REQUEST, region, wanted }, ANSWER_TIMEOUT_MS);
         const grant = grantSchema.safeParse(answer.isOk() ? answer.value : undefined);
         this.asking.delete(region);
@@ -148,11 +149,15 @@
         }
     }
 
-    private answerRequest(message: PeerMessage): PeerMessage {
+    private answerRequest(from: PeerIdentity, message: PeerMessage): PeerMessage {
         const request = requestSchema.safeParse(message);
         const id = `${this.opts.incarnation}/${++this.sequence}`;
-        const count = request.success ? this.ownerOf(request.data.region).lend(id, request.data.wanted) : 0;
-        return { type: "permit-grant", id, count };
+        if (!request.success) {
+            return { type: GRANT, id, count: 0 };
+        }
+        const { region, wanted } = request.data;
+        const count = this.ownerOf(region).lend(id, wanted, from.region === region);
+        return { type: GRANT, id, count };
     }
 
     private takeBack(message: PeerMessage): void {
--- a/steering/src/targetLoads.ts
+++ b/steering/src/targetLoads.ts
@@ -62,10 +62,12 @@
         return (this.estimate(target) + 1) / (target.slots * this.weightOf(target));
     }
 
-    /** Free slots of targets that take work. */
-    freeSlots(targets: readonly TargetCandidate[]): number {
+    /** Share of the targets' slots that are free, from 0 to 1; 1 without targets. */
+    freeShare(targets: readonly TargetCandidate[]): number {
+        const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0);
         const usable = targets.filter(target => this.hasFreeSlot(target) && !this.isBackedOff(target));
-        return usable.reduce((sum, target) => sum + Math.max(0, target.slots - this.estimate(target)), 0);
+        const free = sum(usable.map(target => Math.max(0, target.slots - this.estimate(target))));
+        return targets.length === 0 ? 1 : free / sum(targets.map(target => target.slots));
     }
 
     /** Records a report that was asked for at the monotonic time `askedAt` in ms. */
