--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -4,6 +4,7 @@
 import { limitsFairnessBench } from "./limitsFairnessBench.js";
 import { passthroughBench } from "./passthroughBench.js";
 import { runNamed } from "./runNamed.js";
+import { steeringBench } from "./steeringBench.js";
 
 await runNamed("bench", process.argv.slice(2), {
     capacity: capacityBench,
@@ -11,4 +12,5 @@
     limits: limitsBench,
     "limits-fairness": limitsFairnessBench,
     passthrough: passthroughBench,
+    steering: steeringBench,
 });
