Relay documents between hosts, track evidence and keep a roster

Every host watched the store by itself and trusted what it held for ever. Two hosts of each zone now watch; the others pull documents over links from versions in heartbeats and fall back to a poll after 3 s without evidence. Membership keeps the time of the newest evidence (store, relayed, quorum) and the roster, which one host at a time changes by conditional update. Pointers lie under documents/ so that one watch covers them and claims do not wake it.

--- /dev/null
+++ b/documents/src/documentRelay.ts
@@ -0,0 +1,135 @@
+import type { Failure } from "@pistachioreel/result-code";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+import type { DocumentName } from "./documentName.js";
+import { type FleetDocument, fleetDocumentSchema } from "./fleetDocument.js";
+
+interface DocumentPeers {
+    request(hostId: string, message: RelayMessage, timeoutMs: number): Promise<Result<RelayMessage, Failure>>;
+}
+
+interface RelayMessage {
+    readonly type: string;
+    readonly [field: string]: unknown;
+}
+
+interface DocumentRelayOptions {
+    readonly peers: DocumentPeers;
+    readonly held: (name: DocumentName) => FleetDocument | undefined;
+    /** Takes a document that has arrived whole. */
+    readonly accept: (document: FleetDocument) => Result<boolean, Failure>;
+}
+
+interface Offer {
+    readonly hostId: string;
+    readonly version: number;
+}
+
+const { name: nameSchema } = fleetDocumentSchema.shape;
+const pullSchema = z.object({ name: nameSchema, version: z.number(), offset: z.number().int().nonnegative() });
+const chunkSchema = fleetDocumentSchema.omit({ content: true }).extend({
+    /** Bytes of the whole content. */
+    size: z.number().int().nonnegative(),
+    bytes: z.instanceof(Uint8Array),
+});
+
+/** Two chunks fit into the send queue of a link. */
+const CHUNK_BYTES = 96 * 1024;
+const PULL_TIMEOUT_MS = 1_500;
+
+/** Passes documents on between hosts: peers offer versions in heartbeats, and a host pulls what it does not hold. */
+export class DocumentRelay {
+    private readonly offers = new Map<DocumentName, Offer>();
+    private readonly pulling = new Set<DocumentName>();
+    private readonly encoded = new Map<DocumentName, { readonly version: number; readonly bytes: Buffer; }>();
+
+    constructor(private readonly opts: DocumentRelayOptions) {}
+
+    /** Takes the versions that a peer holds and pulls the newer ones. */
+    offer(hostId: string, versions: Readonly<Record<string, number>>): void {
+        for (const [key, version] of Object.entries(versions)) {
+            const name = nameSchema.safeParse(key);
+            if (name.success && version > this.heldVersion(name.data)) {
+                this.addOffer(name.data, { hostId, version });
+            }
+        }
+    }
+
+    /** Answers a `pull` with a part of the document; `undefined` if the message is not valid or nothing is held. */
+    answerPull(message: RelayMessage): RelayMessage | undefined {
+        const pull = pullSchema.safeParse(message);
+        const document = pull.success ? this.opts.held(pull.data.name) : undefined;
+        if (!pull.success || document === undefined || document.version < pull.data.version) {
+            return undefined;
+        }
+        const { name, version, digest } = document;
+        const bytes = this.encode(document);
+        const { offset } = pull.data;
+        const chunk = bytes.subarray(offset, offset + CHUNK_BYTES);
+        return { type: "document", name, version, digest, size: bytes.length, bytes: chunk };
+    }
+
+    private addOffer(name: DocumentName, offer: Offer): void {
+        if (offer.version > (this.offers.get(name)?.version ?? 0)) {
+            this.offers.set(name, offer);
+        }
+        if (!this.pulling.has(name)) {
+            this.pulling.add(name);
+            void this.pullOffers(name).finally(() => this.pulling.delete(name));
+        }
+    }
+
+    /** Pulls until the newest offered version is held. An offer that fails is forgotten; the next heartbeat repeats it. */
+    private async pullOffers(name: DocumentName): Promise<void> {
+        for (let offer = this.offers.get(name); offer !== undefined; offer = this.offers.get(name)) {
+            if (offer.version > this.heldVersion(name)) {
+                const document = await this.pull(name, offer);
+                if (document !== undefined) {
+                    this.opts.accept(document);
+                }
+            }
+            if (this.offers.get(name) === offer) {
+                this.offers.delete(name);
+            }
+        }
+    }
+
+    /** The whole document; `undefined` if the peer fails or changes to another version in between. */
+    private async pull(name: DocumentName, { hostId, version }: Offer): Promise<FleetDocument | undefined> {
+        const chunks: Uint8Array[] = [];
+        for (let offset = 0, size = 1, pulled = version; offset < size;) {
+            const message = { type: "pull", name, version: pulled, offset };
+            const answer = await this.opts.peers.request(hostId, message, PULL_TIMEOUT_MS);
+            const chunk = answer.isOk() ? chunkSchema.safeParse(answer.value).data : undefined;
+            if (chunk === undefined || chunk.name !== name || (offset > 0 && chunk.version !== pulled)) {
+                return undefined;
+            }
+            chunks.push(chunk.bytes);
+            offset += chunk.bytes.length;
+            size = chunk.size;
+            pulled = chunk.version;
+            if (offset >= size) {
+                const content = Buffer.concat(chunks).toString();
+                return { name, version: pulled, digest: chunk.digest, content };
+            }
+            if (chunk.bytes.length === 0) {
+                return undefined;
+            }
+        }
+        return undefined;
+    }
+
+    private encode({ name, version, content }: FleetDocument): Buffer {
+        const known = this.encoded.get(name);
+        if (known?.version === version) {
+            return known.bytes;
+        }
+        const bytes = Buffer.from(content);
+        this.encoded.set(name, { version, bytes });
+        return bytes;
+    }
+
+    private heldVersion(name: DocumentName): number {
+        return this.opts.held(name)?.version ?? 0;
+    }
+}
--- a/documents/src/documentRepository.ts
+++ b/documents/src/documentRepository.ts
@@ -4,6 +4,7 @@
 import { digestContent } from "./digestContent.js";
 import type { DocumentName } from "./documentName.js";
 import { type DocumentPointer, documentPointerSchema, type FleetDocument } from "./fleetDocument.js";
+import { pointerName } from "./pointerName.js";
 import { splitContent } from "./splitContent.js";
 
 interface StoredPointer {
@@ -39,6 +40,22 @@
         return stored.value === undefined ? ok(undefined) : this.readParts(name, stored.value.pointer);
     }
 
+    /** The document that a pointer names. Failures: `documentDamaged` and those of the store. */
+    async readParts(name: DocumentName, pointer: DocumentPointer): Promise<Result<FleetDocument, Failure>> {
+        const parts = await Promise.all(pointer.parts.map(part => this.store.get(partName(name, part))));
+        let content = "";
+        for (const part of parts) {
+            if (part.isErr()) {
+                return err(part.error);
+            }
+            content += part.value?.value ?? "";
+        }
+        if (digestContent(content) !== pointer.digest) {
+            return err(new Failure("documentDamaged", `the parts of ${name} do not match the digest`));
+        }
+        return ok({ name, version: pointer.version, digest: pointer.digest, content });
+    }
+
     /**
      * Commits new content. Committing the content in force again changes nothing and returns its version.
      *
@@ -82,28 +99,13 @@
         });
     }
 
-    private async readParts(name: DocumentName, pointer: DocumentPointer): Promise<Result<FleetDocument, Failure>> {
-        const parts = await Promise.all(pointer.parts.map(part => this.store.get(partName(name, part))));
-        let content = "";
-        for (const part of parts) {
-            if (part.isErr()) {
-                return err(part.error);
-            }
-            content += part.value?.value ?? "";
-        }
-        if (digestContent(content) !== pointer.digest) {
-            return err(new Failure("documentDamaged", `the parts of ${name} do not match the digest`));
-        }
-        return ok({ name, version: pointer.version, digest: pointer.digest, content });
-    }
-
     private async writeParts(name: DocumentName, content: string): Promise<Result<string[], Failure>> {
         const digests: string[] = [];
         for (const part of splitContent(content, MAX_PART_BYTES)) {
             const digest = digestContent(part);
             const written = await this.store.put(partName(name, digest), part, { absent: true });
             // Parts are named by their content, so one that exists already is the same part.
-            if (written.isErr() && written.error.code !== "storeConflict") {
+            if (written.isErr() && written.error.code !== "storeConflict" && !await this.hasPart(name, digest)) {
                 return err(written.error);
             }
             digests.push(digest);
@@ -111,6 +113,12 @@
         return ok(digests);
     }
 
+    /** Whether a part is there although the reply of its write was lost. */
+    private async hasPart(name: DocumentName, digest: string): Promise<boolean> {
+        const part = await this.store.get(partName(name, digest));
+        return part.isOk() && part.value !== undefined;
+    }
+
     private async writePointer(
         name: DocumentName,
         pointer: DocumentPointer,
@@ -141,12 +149,8 @@
     }
 }
 
-function pointerName(name: DocumentName): string {
-    return `${name}/current`;
-}
-
 function partName(name: DocumentName, digest: string): string {
-    return `${name}/parts/${digest}`;
+    return `documents/${name}/parts/${digest}`;
 }
 
 function conflict(name: DocumentName, basedOn: number, found: number): Failure {
--- a/entry/src/adminListener.ts
+++ b/entry/src/adminListener.ts
@@ -1,4 +1,5 @@
 import { getRequestListener } from "@hono/node-server";
+import type { Membership } from "@pistachioreel/membership";
 import type { WebSocketMesh } from "@pistachioreel/peering";
 import type { HttpObjectStore } from "@pistachioreel/platform-store";
 import type { Timeline } from "@pistachioreel/timeline";
@@ -16,14 +17,19 @@
     readonly mesh: WebSocketMesh;
     readonly metrics: EntryMetrics;
     readonly timeline: Timeline;
-    readonly isReady: () => boolean;
+    readonly membership: Membership;
+    /** Why the host is not ready; `undefined` if it is. */
+    readonly missing: () => string | undefined;
 }
 
 /** Listener for operators and monitoring: health, readiness, metrics, status and the time line. */
 export function createAdminListener(opts: AdminListenerOptions): Server {
     const app = new Hono();
     app.get("/healthz", context => context.text("ok\n"));
-    app.get("/readyz", context => opts.isReady() ? context.text("ready\n") : context.text("not ready\n", 503));
+    app.get("/readyz", context => {
+        const missing = opts.missing();
+        return missing === undefined ? context.text("ready\n") : context.text(`not ready: ${missing}\n`, 503);
+    });
     app.get("/metrics", async context => {
         updateGauges(opts);
         return context.text(await opts.metrics.registry.metrics());
@@ -36,13 +42,30 @@
     });
 }
 
-function statusOf({ hostId, availabilityZone, incarnation, state, store, mesh, isReady }: AdminListenerOptions) {
+function statusOf(opts: AdminListenerOptions) {
+    const { hostId, availabilityZone, incarnation, state, store, mesh, membership, missing } = opts;
+    const reason = missing();
+    const { evidenceAgeMs, directAgeMs } = membership;
     return {
         hostId,
         availabilityZone,
         incarnation,
-        ready: isReady(),
-        documents: { config: state.versionOf("config"), keys: state.versionOf("keys"), plan: state.versionOf("plan") },
+        ready: reason === undefined,
+        ...(reason === undefined ? {} : { notReadyBecause: reason }),
+        documents: state.versions,
+        freshness: {
+            fresh: membership.isFresh(),
+            /** Age in ms of the newest evidence of any kind and of that from the store; absent if there was none. */
+            ...(evidenceAgeMs === Infinity ? {} : { evidenceAgeMs }),
+            ...(directAgeMs === Infinity ? {} : { storeEvidenceAgeMs: directAgeMs }),
+        },
+        roster: {
+            version: state.versionOf("roster"),
+            members: membership.currentRoster?.members ?? [],
+            complete: membership.isRosterComplete,
+            size: membership.size,
+            ownsShare: membership.ownsShare(),
+        },
         storeCalls: store.calls,
         peers: mesh.peers(),
         peerTraffic: mesh.traffic,
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,6 +1,7 @@
 import type { Settings } from "@pistachioreel/config";
 import { Delivery, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
+import { Membership, rankHosts, type RosterMember } from "@pistachioreel/membership";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
 import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
@@ -10,11 +11,16 @@
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
+import { exchangeReports } from "./exchangeReports.js";
 import { FleetState } from "./fleetState.js";
 import { pollHostList } from "./hostListPoll.js";
 import { monotonicNow } from "./monotonicNow.js";
+import { Readiness } from "./readiness.js";
+import { RosterKeeper } from "./rosterKeeper.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
+const WATCHERS_PER_ZONE = 2;
+
 /** One entry host: it takes requests from callers and delivers them to targets. */
 export class EntryHost {
     private readonly state = new FleetState();
@@ -26,6 +32,9 @@
     private readonly callers: CallerListener;
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
+    private readonly membership: Membership;
+    private readonly readiness: Readiness;
+    private readonly self: RosterMember;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -43,9 +52,18 @@
                 this.logger.info({ event, fields });
             },
         });
+        this.self = { id: hostId, incarnation, availabilityZone };
+        const versions = () => this.state.versions;
+        this.membership = new Membership({ self: this.self, versions, now: monotonicNow });
+        this.readiness = new Readiness({
+            state: this.state,
+            membership: this.membership,
+            mesh: this.mesh,
+            now: monotonicNow,
+        });
         const slots = new SlotLedger();
-        const { state, metrics } = this;
-        const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        const { state, metrics, mesh, membership } = this;
+        const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline, membership };
         this.callers = new CallerListener({
             ...shared,
             admission: new WorkspaceAdmission(state, monotonicNow),
@@ -65,8 +83,9 @@
             ...shared,
             store: this.store,
             mesh: this.mesh,
-            isReady: () => this.isReady,
+            missing: () => this.missing,
         });
+        exchangeReports({ mesh, state, membership });
         state.onChange(name => {
             const fields = { document: name, version: state.versionOf(name) };
             timeline.record("document-in-force", { fields });
@@ -74,12 +93,15 @@
             if (name === "config") {
                 this.retainPools();
             }
+            if (name === "roster" && state.roster !== undefined) {
+                membership.takeRoster(state.roster, state.versionOf("roster"));
+            }
         });
     }
 
-    /** Ready while a configuration is in force and the host is not leaving. */
-    get isReady(): boolean {
-        return !this.leaving && this.state.configuration !== undefined;
+    /** Why the host is not ready; `undefined` if it is. */
+    get missing(): string | undefined {
+        return this.leaving ? "the host is leaving" : this.readiness.missing;
     }
 
     /** Opens the listeners and starts to follow the store. Rejects if an address is in use. */
@@ -88,9 +110,11 @@
         await this.mesh.start();
         await listen(this.admin, admin);
         await listen(this.callers.server, callers);
-        const { store, state, logger } = this;
+        const { store, state, logger, membership, mesh, self } = this;
         const { signal } = this.stopping;
-        void new DocumentWatch({ store, state, logger, signal }).run();
+        const shared = { store, state, membership, now: monotonicNow, signal };
+        void new DocumentWatch({ ...shared, logger, isWatcher: () => this.isWatcher() }).run();
+        void new RosterKeeper({ ...shared, self, mesh }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         this.logger.info({
             event: "host-started",
@@ -101,6 +125,8 @@
     /** Lets running requests finish within the drain time and closes everything. Returns whether all of them finished. */
     async stop(): Promise<boolean> {
         this.leaving = true;
+        this.membership.leave();
+        this.mesh.beat();
         this.logger.info({ event: "host-leaving" });
         const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
         this.stopping.abort();
@@ -114,6 +140,14 @@
         return drained;
     }
 
+    /** The two hosts of each zone that rank lowest watch the store for the others. */
+    private isWatcher(): boolean {
+        const { id, availabilityZone } = this.self;
+        const others = this.mesh.peers().filter(peer => peer.availabilityZone === availabilityZone);
+        const ranked = rankHosts(availabilityZone, [id, ...others.map(peer => peer.hostId)]);
+        return ranked.indexOf(id) < WATCHERS_PER_ZONE;
+    }
+
     private takeHosts(hosts: readonly ListedHost[]): void {
         this.state.hosts = hosts;
         this.mesh.setPeers(hosts.map(({ id, peers }) => ({ hostId: id, address: peers })));
--- a/entry/src/fleetState.ts
+++ b/entry/src/fleetState.ts
@@ -1,6 +1,7 @@
 import { Configuration } from "@pistachioreel/config";
 import { type DocumentName, DocumentReplica, type FleetDocument } from "@pistachioreel/documents";
 import { KeyLedger, KeyVerifier } from "@pistachioreel/keys";
+import { Roster } from "@pistachioreel/membership";
 import type { ListedHost } from "@pistachioreel/platform-store";
 import type { Failure } from "@pistachioreel/result-code";
 import { ok, type Result } from "neverthrow";
@@ -14,12 +15,25 @@
     private readonly replica = new DocumentReplica();
     private readonly listeners: ChangeListener[] = [];
     private currentConfiguration: Configuration | undefined;
+    private currentRoster: Roster | undefined;
     private currentVerifier = new KeyVerifier(new KeyLedger());
 
     get configuration(): Configuration | undefined {
         return this.currentConfiguration;
     }
 
+    /** The newest roster; `undefined` if there is none yet. */
+    get roster(): Roster | undefined {
+        return this.currentRoster;
+    }
+
+    /** Version of each document that is held; 0 if there is none. */
+    get versions(): Record<DocumentName, number> {
+        const [config, keys, plan, roster] = (["config", "keys", "plan", "roster"] as const)
+            .map(name => this.versionOf(name)) as [number, number, number, number];
+        return { config, keys, plan, roster };
+    }
+
     get keyVerifier(): KeyVerifier {
         return this.currentVerifier;
     }
@@ -59,6 +73,10 @@
                 return KeyLedger.fromContent(document.content).map(ledger => () => {
                     this.currentVerifier = new KeyVerifier(ledger);
                 });
+            case "roster":
+                return Roster.fromContent(document.content).map(roster => () => {
+                    this.currentRoster = roster;
+                });
             default:
                 return ok(() => {});
         }
--- /dev/null
+++ b/entry/src/rosterKeeper.ts
@@ -0,0 +1,84 @@
+import { DocumentRepository } from "@pistachioreel/documents";
+import { type Membership, nextRoster, type RosterMember } from "@pistachioreel/membership";
+import type { PeerMesh } from "@pistachioreel/peering";
+import type { ObjectStore } from "@pistachioreel/platform-store";
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { FleetState } from "./fleetState.js";
+
+interface RosterKeeperOptions {
+    readonly self: RosterMember;
+    readonly store: ObjectStore;
+    readonly state: FleetState;
+    readonly membership: Membership;
+    readonly mesh: PeerMesh;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    readonly signal: AbortSignal;
+}
+
+const CHECK_INTERVAL_MS = 250;
+/** Evidence that is this old may come from before the newest roster was written. */
+const MAX_EVIDENCE_AGE_MS = 3_000;
+/** The host that is first in order writes; each next one waits this much longer in case those before it cannot. */
+const TURN_MS = 2_000;
+
+/** Writes the next roster when a change of hosts is due. One host writes, others step in when it does not. */
+export class RosterKeeper {
+    private readonly repository: DocumentRepository;
+    private dueSince: number | undefined;
+
+    constructor(private readonly opts: RosterKeeperOptions) {
+        this.repository = new DocumentRepository(opts.store);
+    }
+
+    /** Runs until the signal aborts. */
+    async run(): Promise<void> {
+        const { signal } = this.opts;
+        const startedAt = this.opts.now();
+        while (!signal.aborted) {
+            await sleep(CHECK_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
+            await this.check(startedAt);
+        }
+    }
+
+    private async check(startedAt: number): Promise<void> {
+        const { membership, mesh, self, state, now } = this.opts;
+        const roster = membership.currentRoster;
+        const next = membership.directAgeMs > MAX_EVIDENCE_AGE_MS || (roster && !membership.isRosterComplete)
+            ? undefined
+            : nextRoster({
+                self,
+                roster,
+                reports: membership.reports,
+                linked: new Set(mesh.peers().map(peer => peer.hostId)),
+                listed: new Set(state.hosts.filter(host => host.state === "live").map(host => host.id)),
+                upMs: now() - startedAt,
+                now: now(),
+            });
+        if (next === undefined) {
+            this.dueSince = undefined;
+            return;
+        }
+        this.dueSince ??= now();
+        if (now() - this.dueSince < this.turn() * TURN_MS) {
+            return;
+        }
+        const basedOn = state.versionOf("roster");
+        const committed = await this.repository.commit("roster", next.toContent(), { basedOn, changeId: randomUUID() });
+        if (committed.isErr()) {
+            // After a conflict or an outage the turns start again, with what the store shows by then.
+            this.dueSince = undefined;
+        }
+    }
+
+    /** Position of this host among those that could write; hosts that leave come last. */
+    private turn(): number {
+        const { membership, mesh, self } = this.opts;
+        const linked = new Set(mesh.peers().map(peer => peer.hostId));
+        const able = membership.reports.filter(report =>
+            linked.has(report.id) && report.state === "live" && report.evidenceAgeMs !== undefined
+        );
+        return able.filter(report => report.id < self.id).length;
+    }
+}
--- /dev/null
+++ b/membership/src/receivedReport.ts
@@ -0,0 +1,12 @@
+import type { HostReport } from "./hostReport.js";
+
+/** The newest report of a peer. */
+export interface ReceivedReport extends HostReport {
+    readonly id: string;
+    readonly incarnation: string;
+    readonly availabilityZone: string;
+    /** Monotonic time in ms before which the report was not made; `undefined` if unknown. */
+    readonly askedAt: number | undefined;
+    /** Monotonic time in ms at which it arrived. */
+    readonly receivedAt: number;
+}
--- /dev/null
+++ b/membership/src/rosterMember.ts
@@ -0,0 +1,10 @@
+import { z } from "zod";
+
+/** Schema of a host of the roster. A restarted process is another member, as its predecessor may only be paused. */
+export const rosterMemberSchema = z.object({
+    id: z.string(),
+    incarnation: z.string(),
+    availabilityZone: z.string(),
+});
+
+export type RosterMember = z.infer<typeof rosterMemberSchema>;
