--- /dev/null
+++ b/cli/src/waitWithdrawn.ts
@@ -0,0 +1,76 @@
+import type { DocumentRepository } from "@pistachioreel/documents";
+import { FRESHNESS_BOUND_MS, Roster, type RosterMember } from "@pistachioreel/membership";
+import type { HostList } from "@pistachioreel/platform-store";
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
+import { askHosts } from "./askHosts.js";
+import { hostStatusSchema } from "./hostStatus.js";
+
+interface WaitWithdrawnOptions {
+    readonly list: HostList;
+    readonly repository: DocumentRepository;
+    /** Version of the key ledger in which the key is withdrawn. */
+    readonly version: number;
+    /** Time to wait, in ms. */
+    readonly timeoutMs?: number;
+}
+
+const DEFAULT_TIMEOUT_MS = 14_000;
+const POLL_INTERVAL_MS = 200;
+
+/**
+ * Waits until a withdrawal is in force everywhere: all hosts of the roster have it, or more than half of them have had
+ * it for the freshness bound, so that no other host can still be fresh without it. Failure: `withdrawalPending`.
+ */
+export async function waitWithdrawn(opts: WaitWithdrawnOptions): Promise<Result<string, Failure>> {
+    const deadline = performance.now() + (opts.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+    const adopted = new Set<string>();
+    let majoritySince: number | undefined;
+    for (;;) {
+        const members = await readMembers(opts);
+        await askAll(opts, adopted);
+        const missing = members.filter(member => !adopted.has(nameOf(member)));
+        if (members.length > 0 && missing.length === 0) {
+            return ok(`in force on all ${members.length} hosts`);
+        }
+        const hasMajority = members.length - missing.length > members.length / 2;
+        majoritySince = hasMajority ? majoritySince ?? performance.now() : undefined;
+        if (majoritySince !== undefined && performance.now() - majoritySince >= FRESHNESS_BOUND_MS) {
+            const ids = missing.map(({ id }) => id).join(", ");
+            return ok(`in force; hosts that do not answer refuse keys until they have it: ${ids}`);
+        }
+        if (performance.now() >= deadline) {
+            return err(pending(members, missing));
+        }
+        await sleep(POLL_INTERVAL_MS);
+    }
+}
+
+async function readMembers({ repository }: WaitWithdrawnOptions): Promise<readonly RosterMember[]> {
+    const document = await repository.read("roster");
+    const roster = document.andThen(found => found === undefined ? ok(undefined) : Roster.fromContent(found.content));
+    return roster.unwrapOr(undefined)?.members ?? [];
+}
+
+async function askAll({ list, version }: WaitWithdrawnOptions, adopted: Set<string>): Promise<void> {
+    const hosts = (await list.hosts()).unwrapOr([]);
+    for (const { answer } of await askHosts(hosts, "/v1/status", hostStatusSchema)) {
+        if (answer !== undefined && answer.documents.keys >= version) {
+            adopted.add(nameOf({ id: answer.hostId, incarnation: answer.incarnation }));
+        }
+    }
+}
+
+/** A restarted host has lost what its predecessor had adopted. */
+function nameOf({ id, incarnation }: Pick<RosterMember, "id" | "incarnation">): string {
+    return `${id}/${incarnation}`;
+}
+
+function pending(members: readonly RosterMember[], missing: readonly RosterMember[]): Failure {
+    const counts = `${members.length - missing.length} of ${members.length}`;
+    const ids = missing.map(({ id }) => id).join(", ");
+    return new Failure("withdrawalPending", `the key is withdrawn in the store; ${counts} hosts confirm, not ${ids}`, {
+        details: { confirmed: members.length - missing.length, hosts: members.length, missing: ids },
+    });
+}
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,11 +1,13 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
 import { EntryHostRanking } from "@pistachioreel/lookup";
+import type { Membership } from "@pistachioreel/membership";
 import { Failure } from "@pistachioreel/result-code";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { FleetState } from "./fleetState.js";
 import { refuse } from "./refuse.js";
@@ -17,6 +19,7 @@
     readonly region: string;
     readonly incarnation: string;
     readonly state: FleetState;
+    readonly membership: Membership;
     readonly admission: WorkspaceAdmission;
     readonly delivery: Delivery;
     readonly metrics: EntryMetrics;
@@ -35,14 +38,18 @@
 const LOOKUP_LIFETIME_SECONDS = 10;
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const LINGER_POLL_MS = 20;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEY_PATTERN = /prk_[\w-]{8,}/;
+const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 const MS_PER_SECOND = 1_000;
 
 /** Listener for callers: lookups, and requests that are delivered to targets. */
 export class CallerListener {
     readonly server: Server;
     private sequence = 0;
+    private readonly running = new Set<ServerResponse>();
+    private connections = 0;
     private leaving = false;
 
     constructor(private readonly opts: CallerListenerOptions) {
@@ -55,20 +62,38 @@
             this.handle(request, response).catch((cause: Error) => response.destroy(cause));
         });
         this.server.on("clientError", rejectMalformed);
+        this.server.on("connection", (socket: Duplex) => {
+            this.connections++;
+            socket.once("close", () => this.connections--);
+        });
     }
 
-    /** Stops taking connections; responses from now on ask callers to leave. Resolves when all requests have ended. */
-    async drain(): Promise<void> {
+    /**
+     * Serves callers that still come, for at most `lingerMs`, then closes. Responses ask their callers to leave, those
+     * of running requests too. Resolves when all requests have ended.
+     */
+    async drain(lingerMs: number): Promise<void> {
         this.leaving = true;
+        this.running.forEach(response => response.shouldKeepAlive = false);
+        await this.linger(this.opts.now() + lingerMs);
         await new Promise<void>(resolve => {
             this.server.close(() => resolve());
             this.server.closeIdleConnections();
         });
     }
 
+    /** A connection that is closed while it is idle can cut off a request that is on its way. */
+    private async linger(until: number): Promise<void> {
+        while (this.connections > 0 && this.opts.now() < until) {
+            await sleep(LINGER_POLL_MS);
+        }
+    }
+
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.running.add(response);
+        response.once("close", () => this.running.delete(response));
         if (this.leaving) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         if (request.method === "GET" && pathOf(request) === LOOKUP_PATH) {
             this.answerLookup(response);
@@ -99,9 +124,13 @@
             service: route.service,
             priority: route.priority,
             isIdempotent: route.idempotent,
+            routePath: route.path,
+            idempotencyKey: request.headers["idempotency-key"]?.toString(),
+            maxBodyBytes: route.maxBodyBytes,
             deadlineAt: startedAt + deadlineMs,
             attemptTimeoutMs: service?.attemptTimeoutMs ?? deadlineMs,
             key,
+            checkAgain: () => workspace === undefined || key === undefined ? ok(undefined) : this.verify(key),
             request,
             response,
         });
@@ -110,7 +139,7 @@
             this.refuseRequest(request, response, id, result.error, workspace);
             return;
         }
-        const { target, status = 0, attempts } = result.value;
+        const { target = "", attempts, answer: { status } } = result.value;
         this.opts.metrics.requests.inc({ workspace: workspace ?? "", code: 0 });
         this.opts.timeline.record("request-complete", { request: id, workspace, fields: { target, status, attempts } });
     }
@@ -130,9 +159,13 @@
         if (Number(request.headers["content-length"] ?? 0) > route.maxBodyBytes) {
             return err(new Failure("bodyTooLarge"));
         }
-        if (!route.idempotent && request.headers["idempotency-key"] === undefined) {
+        const idempotencyKey = request.headers["idempotency-key"]?.toString();
+        if (!route.idempotent && idempotencyKey === undefined) {
             return err(new Failure("idempotencyKeyMissing"));
         }
+        if (idempotencyKey !== undefined && !IDEMPOTENCY_KEY_PATTERN.test(idempotencyKey)) {
+            return err(new Failure("requestMalformed", "`Idempotency-Key` must be 1 to 255 visible ASCII characters"));
+        }
         if (route.open) {
             return ok({ route, configuration, workspace: undefined, key: bearerKey(request) });
         }
@@ -149,10 +182,11 @@
         if (key === undefined) {
             return err(new Failure("keyMissing"));
         }
-        const workspace = this.opts.state.keyVerifier.verify(key);
-        if (workspace === undefined) {
-            return err(new Failure("keyRejected"));
+        const verified = this.verify(key);
+        if (verified.isErr()) {
+            return err(verified.error);
         }
+        const workspace = verified.value;
         if (route.workspaces !== undefined && !route.workspaces.includes(workspace)) {
             return err(new Failure("workspaceMismatch"));
         }
@@ -162,6 +196,15 @@
             : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
     }
 
+    /** The workspace of a key. A host that is cut off cannot tell whether the key has been withdrawn. */
+    private verify(key: string): Result<string, Failure> {
+        if (!this.opts.membership.isFresh()) {
+            return err(new Failure("evidenceStale"));
+        }
+        const workspace = this.opts.state.keyVerifier.verify(key);
+        return workspace === undefined ? err(new Failure("keyRejected")) : ok(workspace);
+    }
+
     private refuseRequest(
         request: IncomingMessage,
         response: ServerResponse,
@@ -187,8 +230,9 @@
     }
 
     private answerLookup(response: ServerResponse): void {
-        const { state, availabilityZone, region } = this.opts;
-        const hosts = new EntryHostRanking(state.hosts).rank({ availabilityZone, region });
+        const { state, availabilityZone, region, hostId } = this.opts;
+        const listed = this.leaving ? state.hosts.filter(({ id }) => id !== hostId) : state.hosts;
+        const hosts = new EntryHostRanking(listed).rank({ availabilityZone, region });
         const body = JSON.stringify({ hosts, lifetimeSeconds: LOOKUP_LIFETIME_SECONDS });
         response.writeHead(200, {
             "content-type": "application/json",
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,10 +1,10 @@
 import type { Settings } from "@pistachioreel/config";
-import { Delivery, TargetPools } from "@pistachioreel/delivery";
+import { ClaimSweep, Delivery, type DeliveryObserver, OPEN_WORKSPACE, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
 import { Membership, rankHosts, type RosterMember } from "@pistachioreel/membership";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
-import { NearestLeastLoaded, PollingTargetQueue, SlotLedger } from "@pistachioreel/steering";
+import { FairTargetQueue, NearestLeastLoaded, SlotLedger } from "@pistachioreel/steering";
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
@@ -20,12 +20,19 @@
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
 const WATCHERS_PER_ZONE = 2;
+const CLOSE_TIMEOUT_MS = 500;
+/** Callers use a look-up for 10 s, so they can still come for that long. */
+const MAX_LINGER_MS = 11_000;
+/** Share of the drain time in which callers are still served; the rest is for running requests. */
+const LINGER_SHARE = 0.5;
 
 /** One entry host: it takes requests from callers and delivers them to targets. */
 export class EntryHost {
     private readonly state = new FleetState();
     private readonly metrics = new EntryMetrics();
-    private readonly pools = new TargetPools();
+    private readonly pools = new TargetPools({ hostCount: () => this.state.hosts.length });
+    private readonly delivery: Delivery;
+    private readonly sweep: ClaimSweep;
     private readonly stopping = new AbortController();
     private readonly logger: Logger;
     private readonly store: HttpObjectStore;
@@ -42,7 +49,10 @@
         const incarnation = newIncarnation();
         const timeline = new Timeline(hostId, incarnation);
         this.logger = new Logger(hostId, { level: settings.logLevel });
-        this.store = new HttpObjectStore(settings.store.url, { localAddress: settings.peers.address });
+        this.store = new HttpObjectStore(settings.store.url, {
+            localAddress: settings.peers.address,
+            token: settings.store.token,
+        });
         this.mesh = new WebSocketMesh({
             identity: { hostId, incarnation, availabilityZone, region },
             ...settings.peers,
@@ -63,20 +73,37 @@
         });
         const slots = new SlotLedger();
         const { state, metrics, mesh, membership } = this;
+        const queue = new FairTargetQueue({
+            chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
+            slots,
+            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
+            weightOf: workspace => state.configuration?.rules.workspaces[workspace]?.rate ?? 1,
+            now: monotonicNow,
+        });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline, membership };
+        const observe: DeliveryObserver = (event, observed) => {
+            metrics.delivery.inc({ event });
+            timeline.record(event, observed);
+        };
+        this.sweep = new ClaimSweep({
+            store: this.store,
+            workspaces: () => [OPEN_WORKSPACE, ...Object.keys(state.configuration?.rules.workspaces ?? {})],
+            share: () => ({ index: state.hosts.findIndex(({ id }) => id === hostId), count: state.hosts.length }),
+            observe,
+        });
+        this.delivery = new Delivery({
+            hostId,
+            pools: this.pools,
+            store: this.store,
+            hostCount: () => state.hosts.length,
+            observe,
+            queue,
+            now: monotonicNow,
+        });
         this.callers = new CallerListener({
             ...shared,
             admission: new WorkspaceAdmission(state, monotonicNow),
-            delivery: new Delivery({
-                pools: this.pools,
-                queue: new PollingTargetQueue({
-                    chooser: new NearestLeastLoaded({ availabilityZone, region, slots }),
-                    slots,
-                    targetsOf: service => state.configuration?.targetsOf(service) ?? [],
-                    now: monotonicNow,
-                }),
-                now: monotonicNow,
-            }),
+            delivery: this.delivery,
             now: monotonicNow,
         });
         this.admin = createAdminListener({
@@ -92,6 +119,7 @@
             this.logger.info({ event: "document-in-force", fields });
             if (name === "config") {
                 this.retainPools();
+                queue.wake();
             }
             if (name === "roster" && state.roster !== undefined) {
                 membership.takeRoster(state.roster, state.versionOf("roster"));
@@ -116,6 +144,7 @@
         void new DocumentWatch({ ...shared, logger, isWatcher: () => this.isWatcher() }).run();
         void new RosterKeeper({ ...shared, self, mesh }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
+        void this.sweep.run(signal);
         this.logger.info({
             event: "host-started",
             fields: { host: hostId, callers: `${callers.address}:${callers.port}` },
@@ -128,14 +157,15 @@
         this.membership.leave();
         this.mesh.beat();
         this.logger.info({ event: "host-leaving" });
-        const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
+        const { drainTimeoutMs } = this.settings;
+        const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
         this.mesh.stop();
         this.admin.close();
         this.admin.closeAllConnections();
+        await withTimeout(this.pools.close(), CLOSE_TIMEOUT_MS);
         await this.store.close();
-        await withTimeout(this.pools.close(), this.settings.drainTimeoutMs);
         this.logger.info({ event: "host-stopped", fields: { drained } });
         return drained;
     }
@@ -148,6 +178,12 @@
         return ranked.indexOf(id) < WATCHERS_PER_ZONE;
     }
 
+    private async drain(): Promise<void> {
+        const lingerMs = Math.min(MAX_LINGER_MS, this.settings.drainTimeoutMs * LINGER_SHARE);
+        await this.callers.drain(lingerMs);
+        await this.delivery.idle();
+    }
+
     private takeHosts(hosts: readonly ListedHost[]): void {
         this.state.hosts = hosts;
         this.mesh.setPeers(hosts.map(({ id, peers }) => ({ hostId: id, address: peers })));
--- a/entry/src/rosterKeeper.ts
+++ b/entry/src/rosterKeeper.ts
@@ -22,11 +22,13 @@
 const MAX_EVIDENCE_AGE_MS = 3_000;
 /** The host that is first in order writes; each next one waits this much longer in case those before it cannot. */
 const TURN_MS = 2_000;
+const MAX_BACKOFF_MS = 10_000;
 
 /** Writes the next roster when a change of hosts is due. One host writes, others step in when it does not. */
 export class RosterKeeper {
     private readonly repository: DocumentRepository;
     private dueSince: number | undefined;
+    private failures = 0;
 
     constructor(private readonly opts: RosterKeeperOptions) {
         this.repository = new DocumentRepository(opts.store);
@@ -66,9 +68,12 @@
         }
         const basedOn = state.versionOf("roster");
         const committed = await this.repository.commit("roster", next.toContent(), { basedOn, changeId: randomUUID() });
+        this.failures = committed.isOk() ? 0 : this.failures + 1;
         if (committed.isErr()) {
             // After a conflict or an outage the turns start again, with what the store shows by then.
             this.dueSince = undefined;
+            const waitMs = Math.random() * Math.min(MAX_BACKOFF_MS, CHECK_INTERVAL_MS * 2 ** this.failures);
+            await sleep(waitMs, undefined, { signal: this.opts.signal }).catch(() => undefined);
         }
     }
 
