--- a/entry/src/documentWatch.ts
+++ b/entry/src/documentWatch.ts
@@ -19,7 +19,7 @@
     readonly signal: AbortSignal;
 }
 
-const WATCHED: readonly DocumentName[] = ["config", "keys", "plan", "roster"];
+const WATCHED: readonly DocumentName[] = ["config", "keys", "plan", "roster", "blocks"];
 const WATCHED_PREFIX = "documents/";
 /** A watch is evidence from the time it was sent, so its wait is a part of the freshness bound of 5 s. */
 const WATCH_WAIT_MS = 1_500;
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -8,12 +8,15 @@
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
+import { BlockMapFollower } from "./blockMapFollower.js";
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { exchangeReports } from "./exchangeReports.js";
 import { FleetState } from "./fleetState.js";
+import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
+import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { Readiness } from "./readiness.js";
 import { RosterKeeper } from "./rosterKeeper.js";
@@ -42,6 +45,7 @@
     private readonly membership: Membership;
     private readonly readiness: Readiness;
     private readonly self: RosterMember;
+    private readonly admission: WorkspaceAdmission;
     private leaving = false;
 
     constructor(private readonly settings: Settings) {
@@ -100,9 +104,24 @@
             queue,
             now: monotonicNow,
         });
+        this.admission = new WorkspaceAdmission({
+            identity: { hostId, incarnation, availabilityZone, region },
+            state,
+            view: membership,
+            mesh: this.mesh,
+            metrics,
+            now: monotonicNow,
+        });
+        const fitness = new HostFitness({
+            hostId,
+            mesh: this.mesh,
+            now: monotonicNow,
+            isLeaving: () => this.leaving,
+        });
         this.callers = new CallerListener({
             ...shared,
-            admission: new WorkspaceAdmission(state, monotonicNow),
+            lookup: new LookupAnswer({ ...shared, unfitHosts: () => fitness.unfitHosts() }),
+            admission: this.admission,
             delivery: this.delivery,
             now: monotonicNow,
         });
@@ -140,9 +159,11 @@
         await listen(this.callers.server, callers);
         const { store, state, logger, membership, mesh, self } = this;
         const { signal } = this.stopping;
+        this.admission.start(signal);
         const shared = { store, state, membership, now: monotonicNow, signal };
         void new DocumentWatch({ ...shared, logger, isWatcher: () => this.isWatcher() }).run();
         void new RosterKeeper({ ...shared, self, mesh }).run();
+        void new BlockMapFollower({ store, state, logger, signal }).run();
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
         void this.sweep.run(signal);
         this.logger.info({
@@ -157,6 +178,7 @@
         this.membership.leave();
         this.mesh.beat();
         this.logger.info({ event: "host-leaving" });
+        this.mesh.beat();
         const { drainTimeoutMs } = this.settings;
         const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
--- a/entry/src/fleetState.ts
+++ b/entry/src/fleetState.ts
@@ -1,6 +1,7 @@
 import { Configuration } from "@pistachioreel/config";
 import { type DocumentName, DocumentReplica, type FleetDocument } from "@pistachioreel/documents";
 import { KeyLedger, KeyVerifier } from "@pistachioreel/keys";
+import type { BlockTable } from "@pistachioreel/lookup";
 import { Roster } from "@pistachioreel/membership";
 import type { ListedHost } from "@pistachioreel/platform-store";
 import type { Failure } from "@pistachioreel/result-code";
@@ -12,6 +13,8 @@
 export class FleetState {
     /** Hosts of the platform's list, which lags behind. */
     hosts: readonly ListedHost[] = [];
+    /** Client blocks in force; `undefined` until a map has been read. */
+    blockTable: BlockTable | undefined;
     private readonly replica = new DocumentReplica();
     private readonly listeners: ChangeListener[] = [];
     private currentConfiguration: Configuration | undefined;
@@ -29,9 +32,8 @@
 
     /** Version of each document that is held; 0 if there is none. */
     get versions(): Record<DocumentName, number> {
-        const [config, keys, plan, roster] = (["config", "keys", "plan", "roster"] as const)
-            .map(name => this.versionOf(name)) as [number, number, number, number];
-        return { config, keys, plan, roster };
+        const of = (name: DocumentName) => this.versionOf(name);
+        return { config: of("config"), keys: of("keys"), plan: of("plan"), roster: of("roster"), blocks: of("blocks") };
     }
 
     get keyVerifier(): KeyVerifier {
