--- a/delivery/test/atMostOnce.test.ts
+++ b/delivery/test/atMostOnce.test.ts
@@ -124,6 +124,8 @@
 });
 
 test("orders above the store's write budget are refused as not run without a call to the store", async () => {
+    // The tests before restart a host; the roster must be settled, as its changes are writes as well.
+    await waitForRoster();
     const writes = async () => Number((await storeCalls(shop))["PUT"]);
     const before = await writes();
     const sent = await Promise.all(Array.from({ length: 300 }, (_, index) => shop.order(0, `budget-${index}`)));
@@ -135,6 +137,20 @@
     process.stdout.write(`budget: sent=${sent.length} complete=${ran} refused=${refused.length}\n`);
 });
 
+async function waitForRoster(): Promise<void> {
+    const deadline = Date.now() + 30_000;
+    for (const host of [0, 1, 2]) {
+        for (let isSettled = false; !isSettled; await sleep(50)) {
+            assert.ok(Date.now() < deadline, "the roster has not settled");
+            const response = await fetch(`http://${shop.fleet.adminOf(host)}/v1/status`);
+            const { roster } = await response.json() as {
+                roster: { ownsShare: boolean; complete: boolean; size: number; };
+            };
+            isSettled = roster.ownsShare && roster.complete && roster.size === 3;
+        }
+    }
+}
+
 async function storeCalls({ fleet }: DeliveryFleet): Promise<Record<string, number>> {
     return await (await fetch(`${fleet.storeUrl}/control/calls`)).json() as Record<string, number>;
 }
--- a/entry/src/documentWatch.ts
+++ b/entry/src/documentWatch.ts
@@ -22,7 +22,7 @@
 const WATCHED: readonly DocumentName[] = ["config", "keys", "plan", "roster", "blocks"];
 const WATCHED_PREFIX = "documents/";
 /** A watch is evidence from the time it was sent, so its wait is a part of the freshness bound of 5 s. */
-const WATCH_WAIT_MS = 1_500;
+const WATCH_WAIT_MS = 1_000;
 /** A host that is no watcher reads the store itself after this long without evidence from the store. */
 const FALLBACK_AFTER_MS = 3_000;
 const FALLBACK_JITTER_MS = 500;
