--- a/cli/src/commands/key.ts
+++ b/cli/src/commands/key.ts
@@ -1,11 +1,19 @@
 import { DocumentRepository } from "@pistachioreel/documents";
 import { KeyLedger } from "@pistachioreel/keys";
+import type { HostList } from "@pistachioreel/platform-store";
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
 import { randomBytes, randomUUID } from "node:crypto";
 import type { Command, CommandInput, CommandOutput } from "../command.js";
 import { openStore } from "../openStore.js";
 import { requireFlag } from "../requireFlag.js";
+import { waitWithdrawn } from "../waitWithdrawn.js";
+
+interface CommittedChange {
+    readonly output: CommandOutput;
+    /** Version of the ledger that holds the change. */
+    readonly version: number;
+}
 
 interface LedgerChange {
     readonly ledger: KeyLedger;
@@ -23,7 +31,9 @@
   withdraw --id ID --store URL
   list --store URL
 
-The key is shown once, when it is issued; only its hash is kept.
+The key is shown once, when it is issued; only its hash is kept. A withdrawal is
+in force when the command ends with 0. If it ends with code 2008, hosts that did
+not confirm it may accept the key until they have it; run it again to check.
 
 Example: pistachioreel key issue --workspace tbilisi-bank --store http://10.0.0.1:7000`,
     async run(input) {
@@ -35,12 +45,26 @@
         if (store.isErr()) {
             return err([store.error]);
         }
-        const output = await changeLedger(new DocumentRepository(store.value), ledger => action(ledger, input));
+        const repository = new DocumentRepository(store.value);
+        const committed = await changeLedger(repository, ledger => action(ledger, input));
+        const output = committed.isOk() && action === withdraw
+            ? await confirm(store.value, repository, committed.value)
+            : committed.map(change => change.output);
         await store.value.close();
         return output.mapErr(failure => [failure]);
     },
 };
 
+/** A withdrawal is reported as done only when no host accepts the key any more. */
+async function confirm(
+    list: HostList,
+    repository: DocumentRepository,
+    { output, version }: CommittedChange,
+): Promise<Result<CommandOutput, Failure>> {
+    const withdrawn = await waitWithdrawn({ list, repository, version });
+    return withdrawn.map(text => ({ text: `${output.text}\n${text}`, json: output.json }));
+}
+
 const actions = new Map([["issue", issue], ["withdraw", withdraw], ["list", list]]);
 
 function issue(ledger: KeyLedger, input: CommandInput): Result<LedgerChange, Failure> {
@@ -71,7 +95,7 @@
 async function changeLedger(
     repository: DocumentRepository,
     change: (ledger: KeyLedger) => Result<LedgerChange, Failure>,
-): Promise<Result<CommandOutput, Failure>> {
+): Promise<Result<CommittedChange, Failure>> {
     for (let tries = 1;; tries++) {
         const document = await repository.read("keys");
         if (document.isErr()) {
@@ -85,13 +109,13 @@
             return err(changed.error);
         }
         if (ledger.isOk() && changed.value.ledger === ledger.value) {
-            return ok(changed.value.output);
+            return ok({ output: changed.value.output, version: document.value?.version ?? 0 });
         }
         const basedOn = document.value?.version ?? 0;
         const content = changed.value.ledger.toContent();
         const committed = await repository.commit("keys", content, { basedOn, changeId: randomUUID() });
         if (committed.isOk()) {
-            return ok(changed.value.output);
+            return ok({ output: changed.value.output, version: committed.value });
         }
         if (committed.error.code !== "storeConflict" || tries >= MAX_COMMIT_TRIES) {
             return err(committed.error);
--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -82,6 +82,13 @@
             const { target, release } = grant.value;
             excluded.add(target.id);
             const startedAt = this.opts.now();
+            const checked = request.checkAgain?.() ?? ok(undefined);
+            if (checked.isErr()) {
+                release({ end: "unsent", latencyMs: 0 });
+                return err(
+                    mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: checked.error }) : checked.error,
+                );
+            }
             const result = await this.attempt(request, body, target);
             release({ end: result.end, latencyMs: this.opts.now() - startedAt });
             this.noteEnd(request, target, result);
--- a/delivery/src/deliveryRequest.ts
+++ b/delivery/src/deliveryRequest.ts
@@ -1,3 +1,5 @@
+import type { Failure } from "@pistachioreel/result-code";
+import type { Result } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 /** One admitted request of a caller. */
@@ -21,6 +23,8 @@
     readonly attemptTimeoutMs: number;
     /** The caller's key; removed from everything that goes to a target. */
     readonly key: string | undefined;
+    /** Checked before each attempt: a key can be withdrawn while its request waits for a target. */
+    readonly checkAgain?: () => Result<unknown, Failure>;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
 }
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,5 +1,6 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
+import type { Membership } from "@pistachioreel/membership";
 import { Failure, resultCodes } from "@pistachioreel/result-code";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
@@ -16,6 +17,7 @@
     readonly hostId: string;
     readonly incarnation: string;
     readonly state: FleetState;
+    readonly membership: Membership;
     readonly admission: WorkspaceAdmission;
     readonly delivery: Delivery;
     readonly lookup: LookupAnswer;
@@ -134,6 +136,7 @@
             deadlineAt: startedAt + deadlineMs,
             attemptTimeoutMs: service?.attemptTimeoutMs ?? deadlineMs,
             key,
+            checkAgain: () => workspace === undefined || key === undefined ? ok(undefined) : this.verify(key),
             request,
             response,
         });
@@ -200,16 +203,26 @@
         if (key === undefined) {
             return err(new Failure("keyMissing"));
         }
-        const workspace = this.opts.state.keyVerifier.verify(key);
-        if (workspace === undefined) {
-            return err(new Failure("keyRejected"));
+        const verified = this.verify(key);
+        if (verified.isErr()) {
+            return err(verified.error);
         }
+        const workspace = verified.value;
         if (route.workspaces !== undefined && !route.workspaces.includes(workspace)) {
             return err(new Failure("workspaceMismatch"));
         }
         return ok({ workspace, key });
     }
 
+    /** The workspace of a key. A host that is cut off cannot tell whether the key has been withdrawn. */
+    private verify(key: string): Result<string, Failure> {
+        if (!this.opts.membership.isFresh()) {
+            return err(new Failure("evidenceStale"));
+        }
+        const workspace = this.opts.state.keyVerifier.verify(key);
+        return workspace === undefined ? err(new Failure("keyRejected")) : ok(workspace);
+    }
+
     private refuseRequest(
         request: IncomingMessage,
         response: ServerResponse,
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,6 +1,7 @@
 import type { Settings } from "@pistachioreel/config";
 import { ClaimSweep, Delivery, type DeliveryObserver, OPEN_WORKSPACE, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
+import { Membership, rankHosts, type RosterMember } from "@pistachioreel/membership";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
 import { Timeline } from "@pistachioreel/timeline";
@@ -10,15 +11,18 @@
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
+import { exchangeReports } from "./exchangeReports.js";
 import { FleetState } from "./fleetState.js";
 import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
 import { HostSteering } from "./hostSteering.js";
-import { ListShares } from "./listShares.js";
 import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
+import { Readiness } from "./readiness.js";
+import { RosterKeeper } from "./rosterKeeper.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
+const WATCHERS_PER_ZONE = 2;
 const CLOSE_TIMEOUT_MS = 500;
 /** Callers use a look-up for 10 s, so they can still come for that long. */
 const MAX_LINGER_MS = 11_000;
@@ -38,6 +42,9 @@
     private readonly callers: CallerListener;
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
+    private readonly membership: Membership;
+    private readonly readiness: Readiness;
+    private readonly self: RosterMember;
     private readonly admission: WorkspaceAdmission;
     private readonly steering: HostSteering;
     private leaving = false;
@@ -60,7 +67,16 @@
                 this.logger.info({ event, fields });
             },
         });
-        const { state, metrics, mesh } = this;
+        this.self = { id: hostId, incarnation, availabilityZone };
+        const versions = () => this.state.versions;
+        this.membership = new Membership({ self: this.self, versions, now: monotonicNow });
+        this.readiness = new Readiness({
+            state: this.state,
+            membership: this.membership,
+            mesh: this.mesh,
+            now: monotonicNow,
+        });
+        const { state, metrics, mesh, membership } = this;
         this.steering = new HostSteering({
             self: { hostId, incarnation, availabilityZone, region },
             state,
@@ -68,7 +84,7 @@
             localAddress: settings.peers.address,
             now: monotonicNow,
         });
-        const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline, membership };
         const observe: DeliveryObserver = (event, observed) => {
             metrics.delivery.inc({ event });
             timeline.record(event, observed);
@@ -92,7 +108,7 @@
         this.admission = new WorkspaceAdmission({
             identity: { hostId, incarnation, availabilityZone, region },
             state,
-            view: new ListShares(state, hostId),
+            view: membership,
             mesh: this.mesh,
             metrics,
             now: monotonicNow,
@@ -115,8 +131,9 @@
             store: this.store,
             mesh: this.mesh,
             steering: this.steering,
-            isReady: () => this.isReady,
+            missing: () => this.missing,
         });
+        exchangeReports({ mesh, state, membership });
         state.onChange(name => {
             const fields = { document: name, version: state.versionOf(name) };
             timeline.record("document-in-force", { fields });
@@ -124,12 +141,15 @@
             if (name === "config") {
                 this.retainPools();
             }
+            if (name === "roster" && state.roster !== undefined) {
+                membership.takeRoster(state.roster, state.versionOf("roster"));
+            }
         });
     }
 
-    /** Ready while a configuration is in force and the host is not leaving. */
-    get isReady(): boolean {
-        return !this.leaving && this.state.configuration !== undefined;
+    /** Why the host is not ready; `undefined` if it is. */
+    get missing(): string | undefined {
+        return this.leaving ? "the host is leaving" : this.readiness.missing;
     }
 
     /** Opens the listeners and starts to follow the store. Rejects if an address is in use. */
@@ -138,10 +158,12 @@
         await this.mesh.start();
         await listen(this.admin, admin);
         await listen(this.callers.server, callers);
-        const { store, state, logger } = this;
+        const { store, state, logger, membership, mesh, self } = this;
         const { signal } = this.stopping;
         this.admission.start(signal);
-        void new DocumentWatch({ store, state, logger, signal }).run();
+        const shared = { store, state, membership, now: monotonicNow, signal };
+        void new DocumentWatch({ ...shared, logger, isWatcher: () => this.isWatcher() }).run();
+        void new RosterKeeper({ ...shared, self, mesh }).run();
         void new BlockMapFollower({ store, state, logger, signal }).run();
         void this.steering.run(signal);
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
@@ -155,6 +177,8 @@
     /** Lets running requests finish within the drain time and closes everything. Returns whether all of them finished. */
     async stop(): Promise<boolean> {
         this.leaving = true;
+        this.membership.leave();
+        this.mesh.beat();
         this.logger.info({ event: "host-leaving" });
         this.mesh.beat();
         const { drainTimeoutMs } = this.settings;
@@ -170,6 +194,14 @@
         return drained;
     }
 
+    /** The two hosts of each zone that rank lowest watch the store for the others. */
+    private isWatcher(): boolean {
+        const { id, availabilityZone } = this.self;
+        const others = this.mesh.peers().filter(peer => peer.availabilityZone === availabilityZone);
+        const ranked = rankHosts(availabilityZone, [id, ...others.map(peer => peer.hostId)]);
+        return ranked.indexOf(id) < WATCHERS_PER_ZONE;
+    }
+
     private async drain(): Promise<void> {
         const lingerMs = Math.min(MAX_LINGER_MS, this.settings.drainTimeoutMs * LINGER_SHARE);
         await this.callers.drain(lingerMs);
--- a/entry/src/fleetState.ts
+++ b/entry/src/fleetState.ts
@@ -2,6 +2,7 @@
 import { type DocumentName, DocumentReplica, type FleetDocument } from "@pistachioreel/documents";
 import { KeyLedger, KeyVerifier } from "@pistachioreel/keys";
 import type { BlockTable } from "@pistachioreel/lookup";
+import { Roster } from "@pistachioreel/membership";
 import type { ListedHost } from "@pistachioreel/platform-store";
 import type { Failure } from "@pistachioreel/result-code";
 import { ok, type Result } from "neverthrow";
@@ -17,12 +18,24 @@
     private readonly replica = new DocumentReplica();
     private readonly listeners: ChangeListener[] = [];
     private currentConfiguration: Configuration | undefined;
+    private currentRoster: Roster | undefined;
     private currentVerifier = new KeyVerifier(new KeyLedger());
 
     get configuration(): Configuration | undefined {
         return this.currentConfiguration;
     }
 
+    /** The newest roster; `undefined` if there is none yet. */
+    get roster(): Roster | undefined {
+        return this.currentRoster;
+    }
+
+    /** Version of each document that is held; 0 if there is none. */
+    get versions(): Record<DocumentName, number> {
+        const of = (name: DocumentName) => this.versionOf(name);
+        return { config: of("config"), keys: of("keys"), plan: of("plan"), roster: of("roster"), blocks: of("blocks") };
+    }
+
     get keyVerifier(): KeyVerifier {
         return this.currentVerifier;
     }
@@ -62,6 +75,10 @@
                 return KeyLedger.fromContent(document.content).map(ledger => () => {
                     this.currentVerifier = new KeyVerifier(ledger);
                 });
+            case "roster":
+                return Roster.fromContent(document.content).map(roster => () => {
+                    this.currentRoster = roster;
+                });
             default:
                 return ok(() => {});
         }
--- a/testing/src/storeStandIn.ts
+++ b/testing/src/storeStandIn.ts
@@ -24,7 +24,7 @@
 }
 
 /** Objects that hosts may write; operators may write all. */
-const HOST_PREFIXES = ["roster/", "once/"];
+const HOST_PREFIXES = ["documents/roster/", "once/"];
 
 /** Small stand-in for the platform's store and host list. */
 export class StoreStandIn {
