--- a/entry/src/adminListener.ts
+++ b/entry/src/adminListener.ts
@@ -55,7 +55,7 @@
 }
 
 function updateGauges({ metrics, state, store }: AdminListenerOptions): void {
-    for (const document of ["config", "keys", "plan", "roster"] as const) {
+    for (const document of ["config", "keys", "plan", "roster", "blocks"] as const) {
         metrics.documentVersion.set({ document }, state.versionOf(document));
     }
     for (const [kind, calls] of Object.entries(store.calls)) {
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,24 +1,24 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
-import { EntryHostRanking } from "@pistachioreel/lookup";
-import { Failure } from "@pistachioreel/result-code";
+import { Failure, resultCodes } from "@pistachioreel/result-code";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Duplex } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { FleetState } from "./fleetState.js";
+import type { LookupAnswer } from "./lookupAnswer.js";
 import { refuse } from "./refuse.js";
 import type { WorkspaceAdmission } from "./workspaceAdmission.js";
 
 interface CallerListenerOptions {
     readonly hostId: string;
-    readonly availabilityZone: string;
-    readonly region: string;
     readonly incarnation: string;
     readonly state: FleetState;
     readonly admission: WorkspaceAdmission;
     readonly delivery: Delivery;
+    readonly lookup: LookupAnswer;
     readonly metrics: EntryMetrics;
     readonly timeline: Timeline;
     readonly now: () => number;
@@ -32,17 +32,21 @@
 }
 
 const LOOKUP_PATH = "/v1/lookup";
-const LOOKUP_LIFETIME_SECONDS = 10;
 const HEADERS_TIMEOUT_MS = 5_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const LINGER_POLL_MS = 20;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEY_PATTERN = /prk_[\w-]{8,}/;
+const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 const MS_PER_SECOND = 1_000;
 
 /** Listener for callers: lookups, and requests that are delivered to targets. */
 export class CallerListener {
     readonly server: Server;
     private sequence = 0;
+    private readonly running = new Set<ServerResponse>();
+    private connections = 0;
     private leaving = false;
 
     constructor(private readonly opts: CallerListenerOptions) {
@@ -51,32 +55,57 @@
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
             requestTimeout: 0,
+            connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+            // Checked by the listener, so that the refusal has a result code.
+            requireHostHeader: false,
         }, (request, response) => {
             this.handle(request, response).catch((cause: Error) => response.destroy(cause));
         });
-        this.server.on("clientError", rejectMalformed);
+        this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
+            const failure = malformedFailure(error);
+            this.opts.metrics.requests.inc({ workspace: "", code: failure.number });
+            rejectMalformed(socket, failure);
+        });
+        this.server.on("connection", (socket: Duplex) => {
+            this.connections++;
+            socket.once("close", () => this.connections--);
+        });
     }
 
-    /** Stops taking connections; responses from now on ask callers to leave. Resolves when all requests have ended. */
-    async drain(): Promise<void> {
+    /**
+     * Serves callers that still come, for at most `lingerMs`, then closes. Responses ask their callers to leave, those
+     * of running requests too. Resolves when all requests have ended.
+     */
+    async drain(lingerMs: number): Promise<void> {
         this.leaving = true;
+        this.running.forEach(response => response.shouldKeepAlive = false);
+        await this.linger(this.opts.now() + lingerMs);
         await new Promise<void>(resolve => {
             this.server.close(() => resolve());
             this.server.closeIdleConnections();
         });
     }
 
+    /** A connection that is closed while it is idle can cut off a request that is on its way. */
+    private async linger(until: number): Promise<void> {
+        while (this.connections > 0 && this.opts.now() < until) {
+            await sleep(LINGER_POLL_MS);
+        }
+    }
+
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.running.add(response);
+        response.once("close", () => this.running.delete(response));
         if (this.leaving) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         if (request.method === "GET" && pathOf(request) === LOOKUP_PATH) {
-            this.answerLookup(response);
+            this.answerLookup(request, response);
             return;
         }
         const id = `${this.opts.hostId}-${this.opts.incarnation}-${++this.sequence}`;
         const startedAt = this.opts.now();
-        const admitted = this.admit(request);
+        const admitted = await this.limit(this.admit(request));
         if (admitted.isErr()) {
             this.refuseRequest(request, response, id, admitted.error);
             return;
@@ -99,6 +128,9 @@
             service: route.service,
             priority: route.priority,
             isIdempotent: route.idempotent,
+            routePath: route.path,
+            idempotencyKey: request.headers["idempotency-key"]?.toString(),
+            maxBodyBytes: route.maxBodyBytes,
             deadlineAt: startedAt + deadlineMs,
             attemptTimeoutMs: service?.attemptTimeoutMs ?? deadlineMs,
             key,
@@ -110,7 +142,7 @@
             this.refuseRequest(request, response, id, result.error, workspace);
             return;
         }
-        const { target, status = 0, attempts } = result.value;
+        const { target = "", attempts, answer: { status } } = result.value;
         this.opts.metrics.requests.inc({ workspace: workspace ?? "", code: 0 });
         this.opts.timeline.record("request-complete", { request: id, workspace, fields: { target, status, attempts } });
     }
@@ -130,9 +162,19 @@
         if (Number(request.headers["content-length"] ?? 0) > route.maxBodyBytes) {
             return err(new Failure("bodyTooLarge"));
         }
-        if (!route.idempotent && request.headers["idempotency-key"] === undefined) {
+        if (request.headers.host === undefined && request.httpVersion === "1.1") {
+            return err(new Failure("requestMalformed", "the request has no `Host`"));
+        }
+        if (Number.isNaN(callerDeadlineMs(request))) {
+            return err(new Failure("requestMalformed", "`X-Deadline-Ms` must be a positive number of milliseconds"));
+        }
+        const idempotencyKey = request.headers["idempotency-key"]?.toString();
+        if (!route.idempotent && idempotencyKey === undefined) {
             return err(new Failure("idempotencyKeyMissing"));
         }
+        if (idempotencyKey !== undefined && !IDEMPOTENCY_KEY_PATTERN.test(idempotencyKey)) {
+            return err(new Failure("requestMalformed", "`Idempotency-Key` must be 1 to 255 visible ASCII characters"));
+        }
         if (route.open) {
             return ok({ route, configuration, workspace: undefined, key: bearerKey(request) });
         }
@@ -144,6 +186,15 @@
         }));
     }
 
+    private async limit(allowed: Result<AdmittedRequest, Failure>): Promise<Result<AdmittedRequest, Failure>> {
+        const workspace = allowed.isOk() ? allowed.value.workspace : undefined;
+        if (workspace === undefined) {
+            return allowed;
+        }
+        const { admitted, retryAfterSeconds } = await this.opts.admission.admit(workspace);
+        return admitted ? allowed : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+    }
+
     private authenticate(request: IncomingMessage, route: Route): Result<{ workspace: string; key: string; }, Failure> {
         const key = bearerKey(request);
         if (key === undefined) {
@@ -156,10 +207,7 @@
         if (route.workspaces !== undefined && !route.workspaces.includes(workspace)) {
             return err(new Failure("workspaceMismatch"));
         }
-        const { admitted, retryAfterSeconds } = this.opts.admission.admit(workspace);
-        return admitted
-            ? ok({ workspace, key })
-            : err(new Failure("rateExceeded", undefined, { details: { retryAfterSeconds } }));
+        return ok({ workspace, key });
     }
 
     private refuseRequest(
@@ -186,19 +234,29 @@
         });
     }
 
-    private answerLookup(response: ServerResponse): void {
-        const { state, availabilityZone, region } = this.opts;
-        const hosts = new EntryHostRanking(state.hosts).rank({ availabilityZone, region });
-        const body = JSON.stringify({ hosts, lifetimeSeconds: LOOKUP_LIFETIME_SECONDS });
+    private answerLookup(request: IncomingMessage, response: ServerResponse): void {
+        const answer = this.opts.lookup.answer(clientOf(request), request.socket.remoteAddress);
+        if (answer.isErr()) {
+            refuse(response, answer.error);
+            return;
+        }
+        const body = JSON.stringify(answer.value);
         response.writeHead(200, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(body),
-            "cache-control": `max-age=${LOOKUP_LIFETIME_SECONDS}`,
+            // The answer depends on the caller's address, so shared caches must not keep it.
+            "cache-control": `private, max-age=${answer.value.lifetimeSeconds}`,
         });
         response.end(body);
     }
 }
 
+/** The `client` parameter of a lookup. */
+function clientOf(request: IncomingMessage): string | undefined {
+    const [, query] = (request.url ?? "").split("?", 2);
+    return query === undefined ? undefined : new URLSearchParams(query).get("client") ?? undefined;
+}
+
 function pathOf(request: IncomingMessage): string {
     return (request.url ?? "/").split("?", 1)[0] as string;
 }
@@ -207,9 +265,13 @@
     return /^Bearer (\S+)$/i.exec(request.headers.authorization ?? "")?.[1];
 }
 
+/** Time that the caller gives, in ms; NaN if it is not a positive number. */
 function callerDeadlineMs(request: IncomingMessage): number {
-    const value = Number(request.headers["x-deadline-ms"]);
-    return value > 0 ? value : Infinity;
+    const value = request.headers["x-deadline-ms"];
+    if (value === undefined) {
+        return Infinity;
+    }
+    return Number(value) > 0 ? Number(value) : NaN;
 }
 
 function decodeLoosely(url: string): string {
@@ -221,17 +283,22 @@
     }
 }
 
-function rejectMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+function malformedFailure(error: NodeJS.ErrnoException): Failure {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return new Failure("headerTooLarge");
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return new Failure("requestTimeout");
+        default:
+            return new Failure("requestMalformed");
+    }
+}
+
+function rejectMalformed(socket: Duplex, failure: Failure): void {
     if (!socket.writable) {
         return;
     }
-    const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
-    const isSlow = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
-    const [status, failure] = isTooLarge
-        ? ["431 Request Header Fields Too Large", new Failure("headerTooLarge")]
-        : isSlow
-        ? ["408 Request Timeout", new Failure("requestTimeout")]
-        : ["400 Bad Request", new Failure("requestMalformed")];
-    const head = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\nx-not-run: 1`;
+    const { status } = resultCodes[failure.code];
+    const head = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\nx-not-run: 1`;
     socket.end(`${head}\r\nx-result-code: ${failure.number}\r\n\r\n`);
 }
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -1,31 +1,44 @@
 import type { Settings } from "@pistachioreel/config";
-import { Delivery, TargetPools } from "@pistachioreel/delivery";
+import { ClaimSweep, Delivery, type DeliveryObserver, OPEN_WORKSPACE, TargetPools } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
+import { BlockMapFollower } from "./blockMapFollower.js";
 import { CallerListener } from "./callerListener.js";
 import { DocumentWatch } from "./documentWatch.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { FleetState } from "./fleetState.js";
+import { HostFitness } from "./hostFitness.js";
 import { pollHostList } from "./hostListPoll.js";
 import { HostSteering } from "./hostSteering.js";
+import { ListShares } from "./listShares.js";
+import { LookupAnswer } from "./lookupAnswer.js";
 import { monotonicNow } from "./monotonicNow.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
 
+const CLOSE_TIMEOUT_MS = 500;
+/** Callers use a look-up for 10 s, so they can still come for that long. */
+const MAX_LINGER_MS = 11_000;
+/** Share of the drain time in which callers are still served; the rest is for running requests. */
+const LINGER_SHARE = 0.5;
+
 /** One entry host: it takes requests from callers and delivers them to targets. */
 export class EntryHost {
     private readonly state = new FleetState();
     private readonly metrics = new EntryMetrics();
-    private readonly pools = new TargetPools();
+    private readonly pools = new TargetPools({ hostCount: () => this.state.hosts.length });
+    private readonly delivery: Delivery;
+    private readonly sweep: ClaimSweep;
     private readonly stopping = new AbortController();
     private readonly logger: Logger;
     private readonly store: HttpObjectStore;
     private readonly callers: CallerListener;
     private readonly admin: Server;
     private readonly mesh: WebSocketMesh;
+    private readonly admission: WorkspaceAdmission;
     private readonly steering: HostSteering;
     private leaving = false;
 
@@ -56,14 +69,45 @@
             now: monotonicNow,
         });
         const shared = { hostId, availabilityZone, region, incarnation, state, metrics, timeline };
+        const observe: DeliveryObserver = (event, observed) => {
+            metrics.delivery.inc({ event });
+            timeline.record(event, observed);
+        };
+        this.sweep = new ClaimSweep({
+            store: this.store,
+            workspaces: () => [OPEN_WORKSPACE, ...Object.keys(state.configuration?.rules.workspaces ?? {})],
+            share: () => ({ index: state.hosts.findIndex(({ id }) => id === hostId), count: state.hosts.length }),
+            observe,
+        });
+        this.delivery = new Delivery({
+            hostId,
+            pools: this.pools,
+            store: this.store,
+            mesh: this.mesh,
+            hostCount: () => state.hosts.length,
+            observe,
+            queue: this.steering.queue,
+            now: monotonicNow,
+        });
+        this.admission = new WorkspaceAdmission({
+            identity: { hostId, incarnation, availabilityZone, region },
+            state,
+            view: new ListShares(state, hostId),
+            mesh: this.mesh,
+            metrics,
+            now: monotonicNow,
+        });
+        const fitness = new HostFitness({
+            hostId,
+            mesh: this.mesh,
+            now: monotonicNow,
+            isLeaving: () => this.leaving,
+        });
         this.callers = new CallerListener({
             ...shared,
-            admission: new WorkspaceAdmission(state, monotonicNow),
-            delivery: new Delivery({
-                pools: this.pools,
-                queue: this.steering.queue,
-                now: monotonicNow,
-            }),
+            lookup: new LookupAnswer({ ...shared, unfitHosts: () => fitness.unfitHosts() }),
+            admission: this.admission,
+            delivery: this.delivery,
             now: monotonicNow,
         });
         this.admin = createAdminListener({
@@ -96,9 +140,12 @@
         await listen(this.callers.server, callers);
         const { store, state, logger } = this;
         const { signal } = this.stopping;
+        this.admission.start(signal);
         void new DocumentWatch({ store, state, logger, signal }).run();
+        void new BlockMapFollower({ store, state, logger, signal }).run();
         void this.steering.run(signal);
         void pollHostList(store, hosts => this.takeHosts(hosts), signal);
+        void this.sweep.run(signal);
         this.logger.info({
             event: "host-started",
             fields: { host: hostId, callers: `${callers.address}:${callers.port}` },
@@ -109,18 +156,26 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.logger.info({ event: "host-leaving" });
-        const drained = await withTimeout(this.callers.drain(), this.settings.drainTimeoutMs);
+        this.mesh.beat();
+        const { drainTimeoutMs } = this.settings;
+        const drained = await withTimeout(this.drain(), drainTimeoutMs);
         this.stopping.abort();
         this.callers.server.closeAllConnections();
         this.mesh.stop();
         this.admin.close();
         this.admin.closeAllConnections();
+        await withTimeout(this.pools.close(), CLOSE_TIMEOUT_MS);
         await this.store.close();
-        await withTimeout(this.pools.close(), this.settings.drainTimeoutMs);
         this.logger.info({ event: "host-stopped", fields: { drained } });
         return drained;
     }
 
+    private async drain(): Promise<void> {
+        const lingerMs = Math.min(MAX_LINGER_MS, this.settings.drainTimeoutMs * LINGER_SHARE);
+        await this.callers.drain(lingerMs);
+        await this.delivery.idle();
+    }
+
     private takeHosts(hosts: readonly ListedHost[]): void {
         this.state.hosts = hosts;
         this.mesh.setPeers(hosts.map(({ id, peers }) => ({ hostId: id, address: peers })));
--- a/steering/src/fairTargetQueue.ts
+++ b/steering/src/fairTargetQueue.ts
@@ -140,15 +140,16 @@
     }
 
     private offer(waiter: Waiter<T>, live: readonly T[], queue: ServiceQueue<T>): TakeResult {
-        const { excluded } = waiter.request;
+        const { excluded, avoidedZones } = waiter.request;
         const candidates = excluded.size === 0 ? live : live.filter(target => !excluded.has(target.id));
         if (candidates.length === 0) {
             waiter.settle(err(new Failure("noTarget")));
             return "taken";
         }
-        const target = this.chooseWithPermit(
-            this.withoutReserve(this.withoutMoved(candidates, waiter.position), waiter.workspace, queue),
-        );
+        const unmoved = this.withoutMoved(candidates, waiter.position);
+        const staying = this.withoutReserve(unmoved, waiter.workspace, queue);
+        const elsewhere = avoidedZones && staying.filter(target => !avoidedZones.has(target.availabilityZone));
+        const target = this.chooseWithPermit(elsewhere ?? []) ?? this.chooseWithPermit(staying);
         const givePermitBack = target && (this.opts.permits?.take(target.region) ?? (() => {}));
         if (target === undefined || givePermitBack === undefined) {
             return excluded.size === 0 && !this.isOverItsPart(waiter.workspace, queue) ? "exhausted" : "skipped";
