Count a lost target against a request only while other targets answer

Cause: a host that was cut off from all targets for a moment took each broken connection for a crash; two of them refused the request, for example a popular price check, with 3012 for 10 minutes.

Change: a loss counts only if another target of the service still answers. The turn of a suspect also ends when a request is refused at its last check.

--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -2,7 +2,7 @@
 import type { TargetQueue } from "@pistachioreel/steering";
 import { err, ok, type Result } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Dispatcher } from "undici";
+import type { Dispatcher, Pool } from "undici";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attemptResult.js";
 import type { CrashSuspects } from "./crashSuspects.js";
@@ -27,6 +27,8 @@
 interface AttemptSequenceOptions {
     readonly pools: TargetPools;
     readonly queue: TargetQueue<DeliveryTarget>;
+    /** Targets of a service in the configuration in force. */
+    readonly targetsOf: (service: string) => readonly DeliveryTarget[];
     readonly retries: RetryBudget;
     readonly suspects: CrashSuspects;
     readonly observe: DeliveryObserver;
@@ -35,6 +37,8 @@
 }
 
 const MAX_ATTEMPTS = 3;
+/** Several targets can be lost at once, so that a few of them would not tell whether the host is cut off. */
+const MAX_OTHERS_PROBED = 16;
 const RETRY_JITTER_MS = 20;
 
 /** Tries targets one after the other until one of them ends the request. */
@@ -75,10 +79,13 @@
                 excluded.clear();
                 grant = await this.opts.queue.acquire(wanted);
             }
-            if (grant.isErr()) {
+            const leaveTurn = (isHarmless: boolean) => {
                 if (entry.value === "turn") {
-                    suspects.endTurn(suspectDigest(request, body), false);
+                    suspects.endTurn(suspectDigest(request, body), isHarmless);
                 }
+            };
+            if (grant.isErr()) {
+                leaveTurn(false);
                 return err(mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: grant.error }) : grant.error);
             }
             const { target, release } = grant.value;
@@ -87,6 +94,7 @@
             const checked = request.checkAgain?.() ?? ok(undefined);
             if (checked.isErr()) {
                 release({ end: "unsent", latencyMs: 0 });
+                leaveTurn(false);
                 return err(
                     mayHaveRun ? new Failure("outcomeUnknown", undefined, { cause: checked.error }) : checked.error,
                 );
@@ -94,11 +102,11 @@
             const result = await this.attempt(request, body, target);
             release({ end: result.end, latencyMs: this.opts.now() - startedAt });
             this.noteEnd(request, target, result);
-            if (await isTargetLost(result, this.opts.pools.poolOf(target))) {
+            if (await isTargetLost(result, this.opts.pools.poolOf(target), this.otherPools(service, target))) {
                 suspects.noteLoss(suspectDigest(request, body), target.id, entry.value);
             }
-            else if (entry.value === "turn") {
-                suspects.endTurn(suspectDigest(request, body), result.end === "complete");
+            else {
+                leaveTurn(result.end === "complete");
             }
             if (result.answer !== undefined) {
                 this.fastest.record(service, this.opts.now() - startedAt);
@@ -155,6 +163,14 @@
         });
     }
 
+    /** Pools of other targets, which tell a lost target from a host that is cut off. */
+    private otherPools(service: string, { id }: DeliveryTarget): Pool[] {
+        const others = this.opts.targetsOf(service).filter(target => target.id !== id);
+        const start = Math.floor(Math.random() * others.length);
+        const rotated = [...others.slice(start), ...others.slice(0, start)];
+        return rotated.slice(0, MAX_OTHERS_PROBED).map(target => this.opts.pools.poolOf(target));
+    }
+
     private noteEnd({ id }: DeliveryRequest, target: DeliveryTarget, result: AttemptResult): void {
         const timedOut = result.stoppedBy === "attempt-timeout";
         if (this.opts.pools.noteAttempt(target.id, timedOut)) {
--- a/delivery/src/delivery.ts
+++ b/delivery/src/delivery.ts
@@ -23,6 +23,8 @@
 interface DeliveryOptions {
     readonly pools: TargetPools;
     readonly queue: TargetQueue<DeliveryTarget>;
+    /** Targets of a service in the configuration in force. */
+    readonly targetsOf: (service: string) => readonly DeliveryTarget[];
     readonly store: ObjectStore;
     readonly hostId: string;
     /** Hosts that share the store's write budget. */
@@ -44,10 +46,10 @@
     private readonly running = new Set<Promise<unknown>>();
 
     constructor(private readonly opts: DeliveryOptions) {
-        const { pools, queue, now, observe = () => undefined } = opts;
+        const { pools, queue, targetsOf, now, observe = () => undefined } = opts;
         const suspects = new CrashSuspects({ ...opts, observe });
         const retries = new RetryBudget({ now });
-        this.attempts = new AttemptSequence({ pools, queue, now, observe, retries, suspects });
+        this.attempts = new AttemptSequence({ pools, queue, targetsOf, now, observe, retries, suspects });
         this.once = new OnceDelivery({ ...opts, observe, attempts: this.attempts });
     }
 
--- a/delivery/src/isTargetLost.ts
+++ b/delivery/src/isTargetLost.ts
@@ -4,11 +4,25 @@
 
 const PROBE_TIMEOUT_MS = 500;
 
-/** Whether an attempt broke because its target is gone: a target that still answers `GET /load` only lost a connection. */
-export async function isTargetLost({ end, cause, stoppedBy }: AttemptResult, pool: Pool): Promise<boolean> {
+/**
+ * Whether an attempt broke because its target is gone: a target that still answers `GET /load` only lost a connection.
+ * A host that reaches none of the other targets either is cut off, and its loss says nothing about the request.
+ *
+ * @param others Pools of other targets of the service.
+ */
+export async function isTargetLost(
+    { end, cause, stoppedBy }: AttemptResult,
+    pool: Pool,
+    others: readonly Pool[],
+): Promise<boolean> {
     if (end !== "broken" || stoppedBy !== undefined || cause instanceof StrayResponse) {
         return false;
     }
+    const [isAnswered, ...otherAnswers] = await Promise.all([pool, ...others].map(answersProbe));
+    return !isAnswered && otherAnswers.includes(true);
+}
+
+async function answersProbe(pool: Pool): Promise<boolean> {
     try {
         const { body } = await pool.request({
             method: "GET",
@@ -17,9 +31,9 @@
             signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
         });
         await body.dump();
-        return false;
+        return true;
     }
     catch {
-        return true;
+        return false;
     }
 }
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -103,6 +103,7 @@
             hostCount: () => state.hosts.length,
             observe,
             queue: this.steering.queue,
+            targetsOf: service => state.configuration?.targetsOf(service) ?? [],
             now: monotonicNow,
         });
         this.admission = new WorkspaceAdmission({
