Read a changed block map again without the spread, and call a host overloaded only after 3 s

(1) A retry after a failed read waited for the spread of up to 2 s again, so a map took more than 14 s while the store failed half of the time. (2) One second of a busy event loop, as at the start of a process, took a host out of lookups.

Change: the spread applies to the first attempt for a version; a host is overloaded after three busy seconds. No bound changed.

--- a/entry/src/blockMapFollower.ts
+++ b/entry/src/blockMapFollower.ts
@@ -48,6 +48,10 @@
                 await new Promise<void>(resolve => this.wake = resolve);
                 continue;
             }
+            // Repeated attempts are spread by their backoff.
+            if (failures === 0 && this.loadedVersion > 0) {
+                await this.pause(this.random() * UPDATE_SPREAD_MS);
+            }
             const loaded = await this.load();
             failures = loaded.isOk() ? 0 : failures + 1;
             if (loaded.isErr()) {
@@ -67,9 +71,6 @@
         if (content.isErr()) {
             return err(content.error);
         }
-        if (this.loadedVersion > 0) {
-            await this.pause(this.random() * UPDATE_SPREAD_MS);
-        }
         const digests = content.value.parts;
         const read = await this.readMissing(digests.filter(digest => !this.parts.has(digest)));
         if (read.isErr()) {
--- a/entry/src/hostFitness.ts
+++ b/entry/src/hostFitness.ts
@@ -20,6 +20,8 @@
 const OVERLOADED_FROM = 0.9;
 const OVERLOADED_UNTIL = 0.75;
 const MEASURE_INTERVAL_MS = 1_000;
+/** A start or one burst keeps the event loop busy for a second or two. */
+const BUSY_MEASUREMENTS = 3;
 /** Six heartbeats: a host that was heard before and is silent for this long is not named. */
 const SILENT_AFTER_MS = 3_000;
 
@@ -29,6 +31,7 @@
     private utilization: EventLoopUtilization = performance.eventLoopUtilization();
     private measuredAt = 0;
     private isOverloaded = false;
+    private busyMeasurements = 0;
     private unfit: ReadonlySet<string> = new Set();
     private unfitAt = -Infinity;
 
@@ -82,6 +85,8 @@
         const { utilization } = performance.eventLoopUtilization(this.utilization);
         this.utilization = performance.eventLoopUtilization();
         this.measuredAt = now;
-        this.isOverloaded = utilization > (this.isOverloaded ? OVERLOADED_UNTIL : OVERLOADED_FROM);
+        const isBusy = utilization > (this.isOverloaded ? OVERLOADED_UNTIL : OVERLOADED_FROM);
+        this.busyMeasurements = isBusy ? this.busyMeasurements + 1 : 0;
+        this.isOverloaded = this.busyMeasurements >= BUSY_MEASUREMENTS;
     }
 }
