Complete a roster whose processes have been replaced

Cause: a roster change waited until all members, or more than half, had adopted it, under their own incarnations. When all hosts were replaced at once nobody was left to adopt it, so no host owned a share of a limit and keyed requests were refused with 3005 for good. Seen with a fleet of one host in the pass-through profile; ruled out: the wait for loans (2.2 s), evidence (fresh).

Change: a member counts as adopted if a later process of the same host is known; that process could not hold the host's addresses otherwise.

Not covered: all hosts replaced under new host ids.

--- a/membership/src/membership.ts
+++ b/membership/src/membership.ts
@@ -139,7 +139,7 @@
         return this.reports.some(report => (report.versions[name] ?? 0) > held);
     }
 
-    /** Whether all of the roster, and the member that was removed last, hold at least this version. */
+    /** Whether all of the roster and the member that was removed last hold at least this version or have been replaced. */
     isAdoptedByAll(name: string, version: number): boolean {
         const { roster } = this;
         if (roster === undefined) {
@@ -149,7 +149,7 @@
         return everybody.every(member => this.isAdoptedBy(member, name, version));
     }
 
-    /** Whether more than half of the roster holds at least this version. */
+    /** Whether more than half of the roster holds at least this version or has been replaced. */
     isAdoptedByMajority(name: string, version: number): boolean {
         const members = this.roster?.members ?? [];
         return members.filter(member => this.isAdoptedBy(member, name, version)).length > members.length / 2;
@@ -160,7 +160,18 @@
             return (this.opts.versions()[name] ?? 0) >= version;
         }
         const report = this.reportOf(member);
-        return report !== undefined && (report.versions[name] ?? 0) >= version;
+        return this.isReplaced(member) || (report !== undefined && (report.versions[name] ?? 0) >= version);
+    }
+
+    /**
+     * Whether a later process of the same host is known. It could not have opened the host's addresses while the earlier
+     * one held them, so the earlier one has ended and needs to adopt nothing. Without this, a fleet whose hosts are all
+     * replaced at once would wait for processes that are gone.
+     */
+    private isReplaced({ id, incarnation }: RosterMember): boolean {
+        const { self } = this.opts;
+        const known = id === self.id ? self.incarnation : this.received.get(id)?.incarnation;
+        return known !== undefined && known > incarnation;
     }
 
     private reportOf({ id, incarnation }: RosterMember): ReceivedReport | undefined {
--- /dev/null
+++ b/membership/test/replacedHosts.test.ts
@@ -0,0 +1,53 @@
+import { Caller, Fleet } from "@pistachioreel/testing";
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const HOSTS = [0, 1, 2];
+const PLACE = { availabilityZone: "perth-a", region: "perth" };
+const SERVED_AGAIN_WITHIN_MS = 30_000;
+let fleet: Fleet;
+let caller: Caller;
+let key: string;
+
+before(async () => {
+    fleet = await Fleet.start({
+        hosts: HOSTS.map(() => PLACE),
+        targets: network => [{ ...PLACE, address: network.address(2, 0), port: 8080, service: "web", slots: 16 }],
+        rules: JSON.stringify({
+            deployment: "test",
+            services: { web: {} },
+            routes: [{ path: "/", methods: ["GET"], service: "web", idempotent: true }],
+            workspaces: { dealers: { rate: 100, burst: 100 } },
+        }),
+    });
+    caller = new Caller();
+    ({ key } = await fleet.issueKey("dealers"));
+    await waitUntilServed();
+});
+
+after(async () => {
+    await caller?.close();
+    await fleet?.stop();
+});
+
+async function waitUntilServed(): Promise<void> {
+    const deadline = Date.now() + SERVED_AGAIN_WITHIN_MS;
+    for (const host of HOSTS) {
+        for (let code = -1; code !== 0;) {
+            assert.ok(Date.now() < deadline, `host ${host} answers ${code}`);
+            const request = { host: fleet.callersOf(host), path: "/", marker: `served-${host}`, key };
+            const { code: answered, outcome } = await caller.send(request);
+            code = outcome === "complete" ? 0 : answered;
+            await sleep(50);
+        }
+    }
+}
+
+// Guards against a roster that waits for processes that have ended: nobody owned a share of a limit any more.
+test("keyed requests are served again after all hosts were replaced at once", async () => {
+    await Promise.all(HOSTS.map(host => fleet.hosts[host]?.end("SIGKILL")));
+    await Promise.all(HOSTS.map(host => fleet.startHost(host)));
+    await Promise.all(HOSTS.map(host => fleet.waitUntilReady(host)));
+    await waitUntilServed();
+});
