Share the loop that changes a document, and other logic that stood twice

Cause: the read-through found the read, change, commit and repeat loop in both key and drain, a median in two benches, and two heartbeats in a row when a host stops. A plan that is not JSON ended drain with an exception.

Change: changeDocument and median are written once; a stop sends one heartbeat; a damaged plan is reported as PR2004.

--- a/bench/src/limitsFairnessBench.ts
+++ b/bench/src/limitsFairnessBench.ts
@@ -1,5 +1,6 @@
 import { Caller, ChildProgram, PartitionableFleet } from "@pistachioreel/testing";
 import { setTimeout as sleep } from "node:timers/promises";
+import { median } from "./median.js";
 
 interface RunResult {
     /** Worst p99 of the workspaces inside their rate, in ms. */
@@ -119,10 +120,6 @@
     };
 }
 
-function median(values: readonly number[]): number {
-    return quantile(values, 0.5);
-}
-
 function quantile(values: readonly number[], share: number): number {
     const sorted = [...values].sort((first, second) => first - second);
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN;
--- a/bench/src/passthroughBench.ts
+++ b/bench/src/passthroughBench.ts
@@ -1,6 +1,7 @@
 import { ChildProgram, Fleet, type FleetTarget } from "@pistachioreel/testing";
 import { execFile } from "node:child_process";
 import { promisify } from "node:util";
+import { median } from "./median.js";
 
 interface Sample {
     readonly requestsPerSecond: number;
@@ -99,8 +100,3 @@
     process.stdout.write(`${pairs.join(" ")}\n`);
     return result;
 }
-
-function median(values: readonly number[]): number {
-    const sorted = [...values].sort((a, b) => a - b);
-    return sorted[Math.floor(sorted.length / 2)] ?? NaN;
-}
--- /dev/null
+++ b/cli/src/changeDocument.ts
@@ -0,0 +1,48 @@
+import type { DocumentName, DocumentRepository } from "@pistachioreel/documents";
+import type { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+
+interface DocumentChange<T> {
+    /** New content; absent if nothing changes. */
+    readonly content?: string;
+    readonly value: T;
+}
+
+interface ChangedDocument<T> {
+    readonly value: T;
+    /** Version that holds the change, or the one found if nothing changed; 0 if there is no document. */
+    readonly version: number;
+}
+
+const MAX_TRIES = 5;
+
+/** Changes a document as it is now; a change by another operator in between makes it read and change again. */
+export async function changeDocument<T>(
+    repository: DocumentRepository,
+    name: DocumentName,
+    change: (content: string | undefined) => Result<DocumentChange<T>, Failure>,
+): Promise<Result<ChangedDocument<T>, Failure>> {
+    for (let tries = 1;; tries++) {
+        const document = await repository.read(name);
+        if (document.isErr()) {
+            return err(document.error);
+        }
+        const basedOn = document.value?.version ?? 0;
+        const changed = change(document.value?.content);
+        if (changed.isErr()) {
+            return err(changed.error);
+        }
+        const { content, value } = changed.value;
+        if (content === undefined) {
+            return ok({ value, version: basedOn });
+        }
+        const committed = await repository.commit(name, content, { basedOn, changeId: randomUUID() });
+        if (committed.isOk()) {
+            return ok({ value, version: committed.value });
+        }
+        if (committed.error.code !== "storeConflict" || tries >= MAX_TRIES) {
+            return err(committed.error);
+        }
+    }
+}
--- a/cli/src/commands/drain.ts
+++ b/cli/src/commands/drain.ts
@@ -3,7 +3,7 @@
 import { Failure } from "@pistachioreel/result-code";
 import { type Plan, planSchema } from "@pistachioreel/steering";
 import { err, ok, type Result } from "neverthrow";
-import { randomUUID } from "node:crypto";
+import { changeDocument } from "../changeDocument.js";
 import type { Command, CommandInput, CommandOutput } from "../command.js";
 import { waitInForce } from "../waitInForce.js";
 import { withStore } from "../withStore.js";
@@ -12,7 +12,6 @@
 type Scope = Drain["scope"];
 
 const scopes: readonly Scope[] = ["host", "target", "zone", "region"];
-const MAX_COMMIT_TRIES = 5;
 const MS_PER_SECOND = 1_000;
 
 export const drain: Command = {
@@ -60,43 +59,40 @@
     return scopes.some(scope => scope === word);
 }
 
-/** Changes the plan as it is now; a change by another operator in between makes it read and change again. */
 async function changePlan(
     store: HttpObjectStore,
     change: PlanChange,
-    { flags }: CommandInput,
+    { words, flags }: CommandInput,
 ): Promise<Result<CommandOutput, Failure>> {
-    const repository = new DocumentRepository(store);
-    for (let tries = 1;; tries++) {
-        const document = await repository.read("plan");
-        if (document.isErr()) {
-            return err(document.error);
-        }
-        const basedOn = document.value?.version ?? 0;
-        const before = parsePlan(document.value?.content);
-        if (before.isErr()) {
-            return err(before.error);
-        }
-        const after = change(before.value);
-        if (after === before.value) {
-            return ok({ text: renderPlan(after), json: after });
-        }
-        const committed = await repository.commit("plan", JSON.stringify(after), { basedOn, changeId: randomUUID() });
-        if (committed.isOk()) {
-            const timeout = flags["wait"] === undefined ? {} : { timeoutMs: Number(flags["wait"]) * MS_PER_SECOND };
-            const hosts = await waitInForce(store, "plan", committed.value, timeout);
-            const text = `${renderPlan(after)}\nin force on ${hosts.inForce.length} hosts`;
-            return ok({ text, json: { ...after, version: committed.value, ...hosts } });
-        }
-        if (committed.error.code !== "storeConflict" || tries >= MAX_COMMIT_TRIES) {
-            return err(committed.error);
-        }
+    const changed = await changeDocument(
+        new DocumentRepository(store),
+        "plan",
+        content =>
+            parsePlan(content).map(before => {
+                const value = change(before);
+                return { ...(value === before ? {} : { content: JSON.stringify(value) }), value };
+            }),
+    );
+    if (changed.isErr()) {
+        return err(changed.error);
     }
+    const { value: plan, version } = changed.value;
+    if (words[0] === "list") {
+        return ok({ text: renderPlan(plan), json: plan });
+    }
+    const timeout = flags["wait"] === undefined ? {} : { timeoutMs: Number(flags["wait"]) * MS_PER_SECOND };
+    const hosts = await waitInForce(store, "plan", version, timeout);
+    const text = `${renderPlan(plan)}\nin force on ${hosts.inForce.length} hosts`;
+    return ok({ text, json: { ...plan, version, ...hosts } });
 }
 
 function parsePlan(content: string | undefined): Result<Plan, Failure> {
-    const parsed = planSchema.safeParse(content === undefined ? { drains: [] } : JSON.parse(content));
-    return parsed.success ? ok(parsed.data) : err(new Failure("documentDamaged", "the stored plan is not valid"));
+    try {
+        return ok(planSchema.parse(content === undefined ? { drains: [] } : JSON.parse(content)));
+    }
+    catch (cause) {
+        return err(new Failure("documentDamaged", "the stored plan is not valid", { cause }));
+    }
 }
 
 function renderPlan({ drains }: Plan): string {
--- a/cli/src/commands/key.ts
+++ b/cli/src/commands/key.ts
@@ -3,7 +3,8 @@
 import type { HostList } from "@pistachioreel/platform-store";
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
-import { randomBytes, randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
+import { changeDocument } from "../changeDocument.js";
 import type { Command, CommandInput, CommandOutput } from "../command.js";
 import { openStore } from "../openStore.js";
 import { requireFlag } from "../requireFlag.js";
@@ -21,7 +22,6 @@
 }
 
 const KEY_ID_BYTES = 6;
-const MAX_COMMIT_TRIES = 5;
 
 export const key: Command = {
     name: "key",
@@ -96,29 +96,14 @@
     repository: DocumentRepository,
     change: (ledger: KeyLedger) => Result<LedgerChange, Failure>,
 ): Promise<Result<CommittedChange, Failure>> {
-    for (let tries = 1;; tries++) {
-        const document = await repository.read("keys");
-        if (document.isErr()) {
-            return err(document.error);
-        }
-        const ledger = document.value === undefined
-            ? ok(new KeyLedger())
-            : KeyLedger.fromContent(document.value.content);
-        const changed = ledger.andThen(change);
-        if (changed.isErr()) {
-            return err(changed.error);
-        }
-        if (ledger.isOk() && changed.value.ledger === ledger.value) {
-            return ok({ output: changed.value.output, version: document.value?.version ?? 0 });
-        }
-        const basedOn = document.value?.version ?? 0;
-        const content = changed.value.ledger.toContent();
-        const committed = await repository.commit("keys", content, { basedOn, changeId: randomUUID() });
-        if (committed.isOk()) {
-            return ok({ output: changed.value.output, version: committed.value });
-        }
-        if (committed.error.code !== "storeConflict" || tries >= MAX_COMMIT_TRIES) {
-            return err(committed.error);
-        }
-    }
+    const changed = await changeDocument(repository, "keys", content => {
+        const ledger = content === undefined ? ok(new KeyLedger()) : KeyLedger.fromContent(content);
+        return ledger.andThen(before =>
+            change(before).map(({ ledger: after, output }) => ({
+                ...(after === before ? {} : { content: after.toContent() }),
+                value: output,
+            }))
+        );
+    });
+    return changed.map(({ value: output, version }) => ({ output, version }));
 }
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -179,7 +179,6 @@
     async stop(): Promise<boolean> {
         this.leaving = true;
         this.membership.leave();
-        this.mesh.beat();
         this.logger.info({ event: "host-leaving" });
         this.mesh.beat();
         const { drainTimeoutMs } = this.settings;
