--- a/cli/src/commands/entry.ts
+++ b/cli/src/commands/entry.ts
@@ -5,6 +5,7 @@
 import type { Command } from "../command.js";
 import { readTextFile } from "../readTextFile.js";
 import { requireFlag } from "../requireFlag.js";
+import { stopSignal } from "../stopSignal.js";
 
 export const entry: Command = {
     name: "entry",
@@ -38,10 +39,3 @@
         return ok({ text: summary, json: { drained } });
     },
 };
-
-function stopSignal(): Promise<void> {
-    return new Promise(resolve => {
-        process.once("SIGTERM", () => resolve());
-        process.once("SIGINT", () => resolve());
-    });
-}
--- a/cli/src/program.ts
+++ b/cli/src/program.ts
@@ -7,6 +7,7 @@
 import { diff } from "./commands/diff.js";
 import { drain } from "./commands/drain.js";
 import { entry } from "./commands/entry.js";
+import { gateway } from "./commands/gateway.js";
 import { key } from "./commands/key.js";
 import { lookup } from "./commands/lookup.js";
 import { status } from "./commands/status.js";
@@ -22,7 +23,19 @@
 
 const PROGRAM = "pistachioreel";
 const VERSION = "0.1.0";
-const commands: readonly Command[] = [entry, validate, diff, apply, blocks, key, drain, status, lookup, timeline];
+const commands: readonly Command[] = [
+    entry,
+    gateway,
+    validate,
+    diff,
+    apply,
+    blocks,
+    key,
+    drain,
+    status,
+    lookup,
+    timeline,
+];
 
 /** Runs the program with its arguments. */
 export async function runProgram(args: readonly string[]): Promise<ProgramOutput> {
--- a/config/src/index.ts
+++ b/config/src/index.ts
@@ -4,6 +4,7 @@
 export type { Target } from "./inventory.js";
 export { parseBlockMap } from "./parseBlockMap.js";
 export { parseInventory } from "./parseInventory.js";
+export { parseJsonFile } from "./parseJsonFile.js";
 export { parseRules } from "./parseRules.js";
 export { parseSettings } from "./parseSettings.js";
 export type { Route, Rules } from "./rules.js";
--- a/delivery/src/index.ts
+++ b/delivery/src/index.ts
@@ -1,4 +1,5 @@
 export { ClaimSweep } from "./claimSweep.js";
+export { CrashSuspects } from "./crashSuspects.js";
 export { Delivery } from "./delivery.js";
 export type { DeliveryObserver } from "./deliveryObserver.js";
 export type { DeliveryRequest } from "./deliveryRequest.js";
--- /dev/null
+++ b/desired-state/src/desiredState.ts
@@ -0,0 +1,100 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { callerLimitsSchema } from "./callerLimits.js";
+import { type Route, routeSchema } from "./route.js";
+import { type Service, serviceSchema } from "./service.js";
+import { type Workspace, workspaceSchema } from "./workspace.js";
+
+const contentSchema = z.object({
+    version: z.number().int().nonnegative(),
+    routes: z.array(routeSchema),
+    services: z.array(serviceSchema),
+    /** Absent if requests need no key. */
+    workspaces: z.array(workspaceSchema).optional(),
+    limits: callerLimitsSchema,
+});
+
+type Content = z.infer<typeof contentSchema>;
+
+/** One version of what the operator wants: routes, services, workspaces and limits. Immutable. */
+export class DesiredState {
+    private readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
+    private readonly servicesByName: ReadonlyMap<string, Service>;
+    private readonly workspacesByKey: ReadonlyMap<string, Workspace>;
+
+    private constructor(readonly content: Content) {
+        this.routesByHost = groupByHost(content.routes);
+        this.servicesByName = new Map(content.services.map(service => [service.name, service]));
+        this.workspacesByKey = new Map(
+            (content.workspaces ?? []).flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)),
+        );
+    }
+
+    /** Checks the content. Failure: `documentDamaged`. */
+    static fromContent(content: unknown): Result<DesiredState, Failure> {
+        const parsed = contentSchema.safeParse(content);
+        if (!parsed.success) {
+            const cause = parsed.error;
+            return err(new Failure("documentDamaged", "the desired state does not match its schema", { cause }));
+        }
+        const problem = findProblem(parsed.data);
+        return problem === undefined
+            ? ok(new DesiredState(parsed.data))
+            : err(new Failure("documentDamaged", `the desired state contradicts itself: ${problem}`));
+    }
+
+    get version(): number {
+        return this.content.version;
+    }
+
+    get limits(): Content["limits"] {
+        return this.content.limits;
+    }
+
+    get workspaces(): readonly Workspace[] {
+        return this.content.workspaces ?? [];
+    }
+
+    /** Whether routes that are not public need a key. */
+    get needsKeys(): boolean {
+        return this.content.workspaces !== undefined;
+    }
+
+    /** The route of the host with the longest prefix of the path. */
+    findRoute(host: string, path: string): Route | undefined {
+        return this.routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    }
+
+    findWorkspace(key: string): Workspace | undefined {
+        return this.workspacesByKey.get(key);
+    }
+
+    findService(name: string): Service | undefined {
+        return this.servicesByName.get(name);
+    }
+}
+
+function groupByHost(routes: readonly Route[]): Map<string, Route[]> {
+    const groups = new Map<string, Route[]>();
+    for (const route of [...routes].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)) {
+        const group = groups.get(route.host) ?? [];
+        group.push(route);
+        groups.set(route.host, group);
+    }
+    return groups;
+}
+
+function findProblem({ routes, services, workspaces }: Content): string | undefined {
+    const names = new Set(services.map(({ name }) => name));
+    for (const { name, parts } of routes) {
+        if (parts.some(({ service }) => !names.has(service))) {
+            return `route ${name} names a service that is not defined`;
+        }
+        if (parts.every(({ weight }) => weight === 0)) {
+            return `route ${name} has no weight`;
+        }
+    }
+    const keys = (workspaces ?? []).flatMap(workspace => [...new Set(workspace.keys)]);
+    return keys.length > new Set(keys).size ? "two workspaces share a key" : undefined;
+}
--- /dev/null
+++ b/desired-state/src/index.ts
@@ -0,0 +1,6 @@
+export type { CallerLimits } from "./callerLimits.js";
+export { DesiredState } from "./desiredState.js";
+export type { Route } from "./route.js";
+export type { Service } from "./service.js";
+export { SplitChooser } from "./splitChooser.js";
+export type { Workspace } from "./workspace.js";
--- /dev/null
+++ b/forwarding/src/connectionPool.ts
@@ -0,0 +1,91 @@
+import type { AnswerOwnership } from "./answerOwnership.js";
+import type { ExchangeResult } from "./exchangeResult.js";
+import { TargetConnection } from "./targetConnection.js";
+import type { TargetRequest } from "./targetRequest.js";
+
+interface ConnectionPoolOptions {
+    readonly address: string;
+    readonly localAddress?: string;
+    readonly ownership: AnswerOwnership;
+    readonly connectTimeoutMs?: number;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    readonly onOpened?: () => void;
+}
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 800;
+/** Targets close idle connections; a request that crosses the close is lost, so idle ones are given up before. */
+const MAX_IDLE_MS = 5_000;
+/** Work that must not run twice cannot be repeated after a loss, so it only uses connections that worked just now. */
+const MAX_IDLE_ONCE_MS = 2_500;
+/** Part of the target's own idle timeout after which a connection is no longer used. */
+const KEEP_ALIVE_SHARE = 0.5;
+const MAX_IDLE_CONNECTIONS = 32;
+
+/** Connections to one target. */
+export class ConnectionPool {
+    private idle: TargetConnection[] = [];
+    private isClosed = false;
+
+    constructor(private readonly opts: ConnectionPoolOptions) {}
+
+    /** Runs one exchange on an idle connection, or on a new one. An abort closes the connection. */
+    async exchange(request: TargetRequest, signal: AbortSignal, isIdempotent: boolean): Promise<ExchangeResult> {
+        const connection = this.takeIdle(isIdempotent) ?? await this.open(signal);
+        if (typeof connection === "string") {
+            return { end: "unsent", reason: connection };
+        }
+        const result = await connection.exchange(request, signal);
+        if (connection.isOpen && !this.isClosed && this.idle.length < MAX_IDLE_CONNECTIONS) {
+            this.idle.push(connection);
+        }
+        else {
+            connection.close();
+        }
+        return result;
+    }
+
+    /** Tells whether the target accepts a new connection. */
+    async probe(signal: AbortSignal): Promise<boolean> {
+        const connection = await this.open(signal);
+        if (typeof connection === "string") {
+            return false;
+        }
+        this.idle.push(connection);
+        return true;
+    }
+
+    /** Closes idle connections now and the others after their requests. */
+    close(): void {
+        this.isClosed = true;
+        this.dropIdle();
+    }
+
+    /** Closes all idle connections. */
+    dropIdle(): void {
+        const dropped = this.idle;
+        this.idle = [];
+        dropped.forEach(connection => connection.close());
+    }
+
+    private takeIdle(isIdempotent: boolean): TargetConnection | undefined {
+        const now = this.opts.now();
+        const maxIdleMs = isIdempotent ? MAX_IDLE_MS : MAX_IDLE_ONCE_MS;
+        this.idle = this.idle.filter(connection => {
+            const isFresh =
+                now - connection.idleSince < Math.min(MAX_IDLE_MS, connection.reusableMs * KEEP_ALIVE_SHARE);
+            if (!isFresh) {
+                connection.close();
+            }
+            return isFresh;
+        });
+        const newest = this.idle.at(-1);
+        return newest !== undefined && now - newest.idleSince < maxIdleMs ? this.idle.pop() : undefined;
+    }
+
+    private open(signal: AbortSignal): Promise<TargetConnection | string> {
+        const { address, localAddress, ownership, now, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.opts;
+        this.opts.onOpened?.();
+        return TargetConnection.open({ address, localAddress, ownership, now, connectTimeoutMs }, signal);
+    }
+}
--- /dev/null
+++ b/forwarding/src/endToEndHeaders.ts
@@ -0,0 +1,34 @@
+/**
+ * Headers to pass on: all but those in `removed`, those that `Connection` declares as hop by hop, and those whose value
+ * is not accepted.
+ *
+ * @param raw Alternating names and values, as in `IncomingMessage.rawHeaders`.
+ */
+export function endToEndHeaders(
+    raw: readonly string[],
+    removed: ReadonlySet<string>,
+    accepts: (value: string) => boolean,
+): string[] {
+    const named = connectionHeaders(raw);
+    const kept: string[] = [];
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        const name = raw[i] as string;
+        const value = raw[i + 1] as string;
+        const lowerName = name.toLowerCase();
+        if (!removed.has(lowerName) && !named.has(lowerName) && accepts(value)) {
+            kept.push(name, value);
+        }
+    }
+    return kept;
+}
+
+/** Names that the `Connection` header declares as hop by hop. */
+function connectionHeaders(raw: readonly string[]): Set<string> {
+    const names = new Set<string>();
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        if (raw[i]?.toLowerCase() === "connection") {
+            raw[i + 1]?.split(",").forEach(name => names.add(name.trim().toLowerCase()));
+        }
+    }
+    return names;
+}
--- /dev/null
+++ b/forwarding/src/targetAnswer.ts
@@ -0,0 +1,7 @@
+/** A whole answer of a target. */
+export interface TargetAnswer {
+    readonly status: number;
+    /** Alternating names and values. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+}
--- /dev/null
+++ b/forwarding/src/targetConnection.ts
@@ -0,0 +1,159 @@
+import { connect, type Socket } from "node:net";
+import type { AnswerOwnership } from "./answerOwnership.js";
+import { encodeRequest } from "./encodeRequest.js";
+import type { ExchangeResult } from "./exchangeResult.js";
+import { headerValue } from "./headerValue.js";
+import { ResponseReader } from "./responseReader.js";
+import type { TargetRequest } from "./targetRequest.js";
+
+interface TargetConnectionOptions {
+    /** `address:port` of the target. */
+    readonly address: string;
+    /** Own address that the connection comes from. */
+    readonly localAddress?: string;
+    readonly connectTimeoutMs: number;
+    readonly ownership: AnswerOwnership;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+interface RunningExchange {
+    readonly reader: ResponseReader;
+    readonly finish: (result: ExchangeResult) => void;
+}
+
+/** Answers above this size, in bytes, are not passed on. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+const MS_PER_SECOND = 1_000;
+
+/** One connection to a target, which carries one request at a time. */
+export class TargetConnection {
+    /** Monotonic time in ms at which the last answer was complete. */
+    idleSince: number;
+    private readonly socket: Socket;
+    private running: RunningExchange | undefined;
+    private isUsable = true;
+    private keepAliveMs = Infinity;
+
+    private constructor(private readonly opts: TargetConnectionOptions, socket: Socket) {
+        this.socket = socket;
+        this.idleSince = opts.now();
+        socket.on("data", chunk => this.takeBytes(chunk));
+        socket.on("end", () => this.takeEnd());
+        socket.on("error", error => this.fail(error.message));
+        socket.on("close", () => this.fail("the target closed the connection"));
+    }
+
+    /** Opens a connection. Resolves to a reason if there is none within the connect timeout or the signal aborts. */
+    static open(opts: TargetConnectionOptions, signal: AbortSignal): Promise<TargetConnection | string> {
+        return new Promise(resolve => {
+            const [host = "", port = ""] = opts.address.split(":");
+            const { localAddress } = opts;
+            const socket = connect({ host, port: Number(port), noDelay: true, ...(localAddress && { localAddress }) });
+            const finish = (reason?: string) => {
+                clearTimeout(timer);
+                signal.removeEventListener("abort", onAbort);
+                socket.off("error", onError).off("connect", onConnect);
+                if (reason === undefined) {
+                    resolve(new TargetConnection(opts, socket));
+                    return;
+                }
+                // A late error of a socket without a listener would end the process.
+                socket.on("error", () => undefined).destroy();
+                resolve(reason);
+            };
+            const onAbort = () => finish("cancelled");
+            const onError = (error: Error) => finish(error.message);
+            const onConnect = () => finish();
+            const timer = setTimeout(() => finish("the connection timed out"), opts.connectTimeoutMs);
+            signal.addEventListener("abort", onAbort);
+            socket.once("error", onError).once("connect", onConnect);
+        });
+    }
+
+    /** Time for which the connection may stay idle and still be used, in ms. */
+    get reusableMs(): number {
+        return this.isUsable ? this.keepAliveMs : 0;
+    }
+
+    get isOpen(): boolean {
+        return this.isUsable;
+    }
+
+    /** Sends the request and reads its answer. An abort closes the connection, which stops the work at the target. */
+    exchange(request: TargetRequest, signal: AbortSignal): Promise<ExchangeResult> {
+        if (!this.isUsable || signal.aborted) {
+            return Promise.resolve({ end: "unsent", reason: signal.aborted ? "cancelled" : "connection closed" });
+        }
+        return new Promise(resolve => {
+            const { ownership } = this.opts;
+            const reader = new ResponseReader({
+                requestId: request.id,
+                method: request.method,
+                ownership,
+                maxBytes: MAX_ANSWER_BYTES,
+            });
+            const onAbort = () => this.fail("cancelled");
+            const finish = (result: ExchangeResult) => {
+                signal.removeEventListener("abort", onAbort);
+                this.running = undefined;
+                resolve(result);
+            };
+            this.running = { reader, finish };
+            signal.addEventListener("abort", onAbort);
+            this.socket.write(encodeRequest(request));
+        });
+    }
+
+    close(): void {
+        this.fail("closed");
+    }
+
+    private takeBytes(chunk: Buffer): void {
+        const { running } = this;
+        if (running === undefined) {
+            // Bytes that no request asked for make everything that follows on the connection doubtful.
+            this.fail("unexpected bytes");
+            return;
+        }
+        const state = running.reader.read(chunk);
+        if (state === "invalid") {
+            this.fail("the answer is not valid");
+        }
+        else if (state === "whole") {
+            this.complete(running);
+        }
+    }
+
+    /** A target that ends the connection ends an answer without a length; a reset does not. */
+    private takeEnd(): void {
+        const { running } = this;
+        if (running !== undefined && running.reader.finish() === "whole") {
+            this.complete(running);
+        }
+        this.fail("the target ended the connection");
+    }
+
+    private complete({ reader, finish }: RunningExchange): void {
+        const { answer } = reader;
+        this.keepAliveMs = keepAliveMsOf(answer.headers);
+        this.idleSince = this.opts.now();
+        // A body that is still on its way out would be followed by the next request only later.
+        const isReusable = reader.isReusable && this.socket.writableLength === 0;
+        finish({ end: "answered", answer });
+        if (!isReusable) {
+            this.close();
+        }
+    }
+
+    private fail(reason: string): void {
+        this.isUsable = false;
+        this.socket.destroy();
+        this.running?.finish({ end: "lost", reason });
+    }
+}
+
+function keepAliveMsOf(headers: readonly string[]): number {
+    const seconds = /timeout=(\d+)/i.exec(headerValue(headers, "keep-alive") ?? "")?.[1];
+    return seconds === undefined ? Infinity : Number(seconds) * MS_PER_SECOND;
+}
--- /dev/null
+++ b/forwarding/src/targetRequest.ts
@@ -0,0 +1,10 @@
+/** A request as it goes to a target. */
+export interface TargetRequest {
+    readonly id: string;
+    readonly method: string;
+    /** Path and query, as the caller sent them. */
+    readonly path: string;
+    /** Alternating names and values. */
+    readonly headers: readonly string[];
+    readonly body: Buffer | undefined;
+}
--- /dev/null
+++ b/gateway/src/dialect.ts
@@ -0,0 +1,41 @@
+import type { AnswerOwnership, TargetAnswer } from "@pistachioreel/forwarding";
+import type { Target } from "@pistachioreel/placement";
+import type { IncomingMessage } from "node:http";
+import type { AnswerVerdict } from "./answerVerdict.js";
+import type { CallerRequest } from "./callerRequest.js";
+
+interface TargetHeaderOptions {
+    readonly rawHeaders: readonly string[];
+    readonly deadlineMs: number;
+    readonly target: Target;
+    /** Workspace of the caller; `undefined` on public routes. */
+    readonly workspace: string | undefined;
+    readonly key: string | undefined;
+}
+
+interface DirectoryQuery {
+    readonly region: string | undefined;
+    readonly availabilityZone: string | undefined;
+}
+
+interface DirectoryAnswer {
+    /** `address:port` of hosts for callers, in no order. */
+    readonly addresses: readonly string[];
+    readonly lifetimeMs: number;
+}
+
+/** How callers and targets spell what they say: headers, paths and bodies. */
+export interface Dialect extends AnswerOwnership {
+    readRequest(request: IncomingMessage): CallerRequest;
+    /** Headers of a request for a target, as alternating names and values. */
+    targetHeaders(opts: TargetHeaderOptions): string[];
+    verdictOf(answer: TargetAnswer): AnswerVerdict;
+    /** Headers of a target's answer for the caller. */
+    callerHeaders(answer: TargetAnswer): string[];
+    /** Headers of a refusal: when to come back, in ms, if that is known. */
+    refusalHeaders(retryAfterMs: number | undefined): string[];
+    /** `undefined` if the request is not one for the directory. */
+    readDirectoryQuery(request: IncomingMessage): DirectoryQuery | undefined;
+    directoryAnswer(answer: DirectoryAnswer): string;
+    isReadinessCheck(request: IncomingMessage): boolean;
+}
--- /dev/null
+++ b/gateway/src/feedFollower.ts
@@ -0,0 +1,143 @@
+import type { Logger } from "@pistachioreel/logging";
+import type { FeedEntry, FeedPage, ObjectFeed } from "@pistachioreel/platform-store";
+import type { Failure } from "@pistachioreel/result-code";
+import type { Result } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
+
+interface FeedFollowerOptions<T> {
+    readonly name: string;
+    readonly feed: ObjectFeed<T>;
+    /** Called with entries that changed. */
+    readonly onChange: (changed: readonly FeedEntry<T>[]) => void;
+    readonly logger: Logger;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    readonly signal: AbortSignal;
+}
+
+const WAIT_MS = 20_000;
+/** Changes often come in groups; a pause lets one call bring a group. */
+const GROUP_PAUSE_MS = 40;
+const MIN_BACKOFF_MS = 150;
+const MAX_BACKOFF_MS = 1_200;
+const MAX_REMOVED_KEPT = 2_000;
+
+/** Keeps a copy of the objects of one kind, from the store and from what other hosts have read there. */
+export class FeedFollower<T> {
+    /** Monotonic time in ms of the newest failed call; -Infinity if none failed. */
+    lostAt = -Infinity;
+    /** Monotonic time in ms at which the store answered again after failures. */
+    regainedAt = -Infinity;
+    private readonly entries = new Map<string, FeedEntry<T>>();
+    private followedTo: number | undefined;
+    private newest = 0;
+    private failures = 0;
+
+    constructor(private readonly opts: FeedFollowerOptions<T>) {}
+
+    /** Revision of the newest change that is known; 0 if nothing is known. */
+    get revision(): number {
+        return this.newest;
+    }
+
+    get isLost(): boolean {
+        return this.failures > 0;
+    }
+
+    /** All entries, also removed ones, for a host that knows less. */
+    get page(): FeedPage<T> {
+        return { entries: [...this.entries.values()], revision: this.newest };
+    }
+
+    /** Follows the store until the signal aborts. */
+    async run(): Promise<void> {
+        const { signal, feed } = this.opts;
+        while (!signal.aborted) {
+            const after = this.followedTo;
+            const isFull = after === undefined;
+            const page = isFull ? await feed.read() : await feed.follow(after, WAIT_MS);
+            if (signal.aborted) {
+                return;
+            }
+            await this.pause(this.take(page, isFull));
+        }
+    }
+
+    /** Takes what another host knows. */
+    merge({ entries, revision }: FeedPage<T>): void {
+        this.apply(entries);
+        this.newest = Math.max(this.newest, revision);
+    }
+
+    /** Returns the time to wait before the next call, in ms. */
+    private take(page: Result<FeedPage<T>, Failure>, isFull: boolean): number {
+        if (page.isErr()) {
+            return this.takeFailure(page.error);
+        }
+        this.noteContact();
+        const { entries, revision } = page.value;
+        this.apply(isFull ? [...entries, ...this.missingFrom(page.value)] : entries);
+        this.followedTo = revision;
+        return entries.length > 0 ? GROUP_PAUSE_MS : 0;
+    }
+
+    private takeFailure(failure: Failure): number {
+        if (failure.code === "historyGone") {
+            this.followedTo = undefined;
+            return 0;
+        }
+        const { name, logger, now } = this.opts;
+        this.lostAt = now();
+        if (this.failures === 0) {
+            logger.warn({ event: "store-lost", fields: { feed: name, reason: failure.message } });
+        }
+        const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.failures++);
+        return backoffMs * (0.5 + Math.random() / 2);
+    }
+
+    private noteContact(): void {
+        if (this.failures > 0) {
+            this.failures = 0;
+            this.regainedAt = this.opts.now();
+            this.opts.logger.info({ event: "store-regained", fields: { feed: this.opts.name } });
+        }
+    }
+
+    private missingFrom({ entries, revision }: FeedPage<T>): FeedEntry<T>[] {
+        const present = new Set(entries.map(({ name }) => name));
+        return [...this.entries.values()]
+            .filter(entry => entry.value !== undefined && entry.revision <= revision && !present.has(entry.name))
+            .map(({ name }) => ({ name, revision, value: undefined }));
+    }
+
+    private apply(entries: readonly FeedEntry<T>[]): void {
+        const changed = entries.filter(({ name, revision, value }) => {
+            const known = this.entries.get(name);
+            const isNewer = known === undefined || revision > known.revision;
+            // A removal can carry the revision of the object's last change.
+            return isNewer || revision === known.revision && value === undefined && known.value !== undefined;
+        });
+        for (const entry of changed) {
+            this.entries.set(entry.name, entry);
+            this.newest = Math.max(this.newest, entry.revision);
+        }
+        this.forgetRemoved();
+        if (changed.length > 0) {
+            this.opts.onChange(changed);
+        }
+    }
+
+    private forgetRemoved(): void {
+        if (this.entries.size <= MAX_REMOVED_KEPT) {
+            return;
+        }
+        const removed = [...this.entries.values()].filter(({ value }) => value === undefined);
+        removed.slice(0, removed.length / 2).forEach(({ name }) => this.entries.delete(name));
+    }
+
+    private async pause(ms: number): Promise<void> {
+        if (ms > 0) {
+            await sleep(ms, undefined, { signal: this.opts.signal }).catch(() => undefined);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/fleetExchange.ts
@@ -0,0 +1,140 @@
+import type { Logger } from "@pistachioreel/logging";
+import type { PeerIdentity, PeerMesh } from "@pistachioreel/peering";
+import type { TargetLoads, WarmObjects } from "@pistachioreel/placement";
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+import type { HostDirectory } from "./hostDirectory.js";
+import { type HostReport, hostReportSchema } from "./hostReport.js";
+import type { SharedFeed } from "./sharedFeed.js";
+import type { WorkspaceLimits } from "./workspaceLimits.js";
+
+interface FleetExchangeOptions {
+    readonly mesh: PeerMesh;
+    readonly state: () => HostReport["state"];
+    readonly callers: string;
+    readonly loads: TargetLoads;
+    readonly warm: WarmObjects;
+    readonly limits: WorkspaceLimits;
+    readonly directory: HostDirectory;
+    readonly feeds: ReadonlyMap<string, SharedFeed>;
+    readonly logger: Logger;
+    readonly signal: AbortSignal;
+}
+
+const PART = "gateway";
+const FEED_TYPE = "feed";
+const WARM_TYPE = "warm";
+const MIN_INTERVAL_MS = 150;
+/** Each peer adds to the interval, so that a large fleet does not spend its time on reports. */
+const INTERVAL_PER_PEER_MS = 10;
+const FEED_TIMEOUT_MS = 1_000;
+/** Store and peers usually tell the same at the same time; a host asks a peer only for what the store did not bring. */
+const FEED_PATIENCE_MS = 250;
+
+const warmSchema = z.object({ pairs: z.array(z.tuple([z.string(), z.string()])) });
+
+/** Exchanges with the other hosts what they have running, admitted and read. */
+export class FleetExchange {
+    private report: HostReport;
+    private readonly asked = new Set<string>();
+
+    constructor(private readonly opts: FleetExchangeOptions) {
+        this.report = this.makeReport();
+        const { mesh, warm } = opts;
+        mesh.attach(PART, { payload: () => this.report, receive: (from, payload) => this.receive(from, payload) });
+        mesh.handle(FEED_TYPE, (_from, { feed }) => this.answerFeed(feed));
+        mesh.handle(WARM_TYPE, (_from, message) => {
+            const parsed = warmSchema.safeParse(message);
+            parsed.data?.pairs.forEach(([key, object]) => warm.noteRemote(key, object));
+        });
+        mesh.onPeersChange(() => this.opts.limits.resize());
+    }
+
+    /** Tells the other hosts of this one until the signal aborts. */
+    async run(): Promise<void> {
+        const { signal, mesh } = this.opts;
+        while (!signal.aborted) {
+            this.tell();
+            const intervalMs = MIN_INTERVAL_MS + INTERVAL_PER_PEER_MS * mesh.peers().length;
+            await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
+        }
+    }
+
+    /** Tells the other hosts now. */
+    tell(): void {
+        this.report = this.makeReport();
+        this.opts.mesh.beat();
+    }
+
+    /** Tells a host that has just been linked which targets are warm for what. */
+    greet(hostId: string): void {
+        this.opts.mesh.send(hostId, { type: WARM_TYPE, pairs: this.opts.warm.all() });
+    }
+
+    private makeReport(): HostReport {
+        const { state, callers, loads, warm, limits, feeds } = this.opts;
+        const revisions = [...feeds].map(([name, { revision }]) => [name, revision] as const);
+        return {
+            state: state(),
+            callers,
+            running: Object.fromEntries(loads.running),
+            admitted: limits.totals(),
+            revisions: Object.fromEntries(revisions),
+            warmed: warm.takeNoted(),
+        };
+    }
+
+    private receive(from: PeerIdentity, payload: unknown): void {
+        const parsed = hostReportSchema.safeParse(payload);
+        if (!parsed.success) {
+            this.opts.logger.warn({ event: "peer-report-invalid", fields: { peer: from.hostId } });
+            return;
+        }
+        const report = parsed.data;
+        const { loads, warm, limits, directory, feeds } = this.opts;
+        directory.noteReport(from, report);
+        loads.setPeer(from.hostId, new Map(Object.entries(report.running)));
+        limits.notePeer(`${from.hostId}/${from.incarnation}`, report.admitted);
+        report.warmed.forEach(([key, object]) => warm.noteRemote(key, object));
+        for (const [name, revision] of Object.entries(report.revisions)) {
+            const feed = feeds.get(name);
+            if (feed !== undefined && revision > feed.revision) {
+                void this.askFeed(from, name, feed, revision);
+            }
+        }
+    }
+
+    /** Asks a peer that knows newer objects, unless the store brings them first. */
+    private async askFeed(from: PeerIdentity, name: string, feed: SharedFeed, revision: number): Promise<void> {
+        if (this.asked.has(name)) {
+            return;
+        }
+        this.asked.add(name);
+        try {
+            await sleep(FEED_PATIENCE_MS, undefined, { signal: this.opts.signal });
+            if (revision <= feed.revision) {
+                return;
+            }
+            const answer = await this.opts.mesh.request(from.hostId, { type: FEED_TYPE, feed: name }, FEED_TIMEOUT_MS);
+            if (answer.isErr() || !feed.merge(answer.value["page"])) {
+                this.opts.logger.warn({ event: "peer-feed-missing", fields: { peer: from.hostId, feed: name } });
+                return;
+            }
+            this.opts.logger.info({
+                event: "feed-from-peer",
+                fields: { peer: from.hostId, feed: name, revision: feed.revision },
+            });
+        }
+        catch {
+            // The wait ends early only when the process stops.
+        }
+        finally {
+            this.asked.delete(name);
+        }
+    }
+
+    private answerFeed(name: unknown) {
+        const feed = typeof name === "string" ? this.opts.feeds.get(name) : undefined;
+        return feed === undefined ? undefined : { type: FEED_TYPE, page: feed.encode() };
+    }
+}
--- /dev/null
+++ b/gateway/src/gatewayMetrics.ts
@@ -0,0 +1,42 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 5, 10];
+
+/** Metrics of a gateway host. */
+export class GatewayMetrics {
+    readonly registry = new Registry();
+    readonly requests = new Counter({
+        name: "pistachioreel_gateway_requests_total",
+        help: "Requests by route and result code; code 0 is a target's answer",
+        labelNames: ["route", "code"],
+        registers: [this.registry],
+    });
+    readonly latency = new Histogram({
+        name: "pistachioreel_gateway_request_seconds",
+        help: "Time from the head of a request to the end of its answer",
+        labelNames: ["route"],
+        buckets: LATENCY_BUCKETS_SECONDS,
+        registers: [this.registry],
+    });
+    readonly connections = new Counter({
+        name: "pistachioreel_gateway_target_connections_total",
+        help: "Connections opened to targets",
+        registers: [this.registry],
+    });
+
+    constructor() {
+        collectDefaultMetrics({ register: this.registry });
+    }
+
+    /** Shows a value that is read when the metrics are fetched. */
+    collect(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name: `pistachioreel_gateway_${name}`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/hostReport.ts
@@ -0,0 +1,18 @@
+import { z } from "zod";
+
+/** Schema of what each host tells the others several times a second. */
+export const hostReportSchema = z.object({
+    /** `ready`: takes callers. `leaving`: is about to stop. */
+    state: z.enum(["starting", "ready", "leaving"]),
+    callers: z.string(),
+    /** Requests that the host has at each target. */
+    running: z.record(z.string(), z.number()),
+    /** Requests that the host has admitted for each workspace since its start. */
+    admitted: z.record(z.string(), z.number()),
+    /** Newest revision that the host knows of each feed. */
+    revisions: z.record(z.string(), z.number()),
+    /** Objects that targets have begun to handle since the report before. */
+    warmed: z.array(z.tuple([z.string(), z.string()])),
+});
+
+export type HostReport = z.infer<typeof hostReportSchema>;
--- /dev/null
+++ b/gateway/src/settings.ts
@@ -0,0 +1,53 @@
+import { z } from "zod";
+
+const MS_PER_SECOND = 1_000;
+
+/** A time: a number of ms, or a number with its unit, `ms` or `s`. */
+const duration = z.union([
+    z.number().nonnegative(),
+    z.string().regex(/^\d+(\.\d+)?(ms|s)$/, "a number with ms or s")
+        .transform(text => Number.parseFloat(text) * (text.endsWith("ms") ? 1 : MS_PER_SECOND)),
+]);
+const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, "an IPv4 address and a port");
+
+/** Schema of the settings of one gateway host. */
+export const gatewaySettingsSchema = z.strictObject({
+    hostId: z.string().min(1),
+    availabilityZone: z.string().min(1),
+    region: z.string().min(1),
+    /** Own IP address, from which connections to others come. */
+    localAddress: z.string().min(1),
+    /** Listener for requests of callers. */
+    callers: address,
+    /** Listener of the platform's readiness checks. */
+    readiness: address,
+    /** Listener of look-ups. */
+    directory: address,
+    /** Listener for other hosts. */
+    peers: address,
+    metrics: address,
+    /** The first is offered to other hosts, all are accepted. */
+    peerSecrets: z.array(z.string().min(1)).min(1),
+    store: address,
+    /** Region of each availability zone. */
+    regions: z.record(z.string(), z.string()),
+    /** Memory that the process may use, in MB. */
+    memoryMb: z.number().positive(),
+    /** Time between SIGTERM and SIGKILL. */
+    stopTimeout: duration,
+    /** Time within which a leaving target must get no more requests. */
+    drainBound: duration,
+    /** Longest time for which callers may keep an answer of the directory. */
+    maxLookupLifetime: duration,
+    /** Sends to a further target that all hosts together may make for each request. */
+    retryShare: z.number().nonnegative(),
+    /** Sends to a further target that all hosts together may make in any case within the window. */
+    retrySlack: z.number().nonnegative(),
+    retryWindow: duration,
+    /** Requests above `coldPerSecond` of its service, times `coldFactor`, that a cold target bears in one second. */
+    coldFactor: z.number().positive(),
+    coldSlack: z.number().nonnegative(),
+    logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+});
+
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- /dev/null
+++ b/gateway/src/shareFeed.ts
@@ -0,0 +1,49 @@
+import type { FeedPage } from "@pistachioreel/platform-store";
+import { z } from "zod";
+import type { FeedFollower } from "./feedFollower.js";
+import type { SharedFeed } from "./sharedFeed.js";
+
+const pageSchema = z.object({
+    entries: z.array(z.object({ name: z.string(), revision: z.number(), value: z.unknown() })),
+    revision: z.number(),
+});
+
+/**
+ * Makes a feed one that hosts pass on to each other.
+ *
+ * @param decode Value of an entry as another host sent it; `undefined` if it is not valid.
+ * @param encode What is sent for a value.
+ */
+export function shareFeed<T>(
+    follower: FeedFollower<T>,
+    decode: (value: unknown) => T | undefined,
+    encode: (value: T) => unknown,
+): SharedFeed {
+    return {
+        get revision() {
+            return follower.revision;
+        },
+        encode: () => ({
+            entries: follower.page.entries.map(({ name, revision, value }) => ({
+                name,
+                revision,
+                value: value === undefined ? null : encode(value),
+            })),
+            revision: follower.page.revision,
+        }),
+        merge(sent) {
+            const parsed = pageSchema.safeParse(sent);
+            if (!parsed.success) {
+                return false;
+            }
+            const entries = parsed.data.entries.map(({ name, revision, value }) => ({
+                name,
+                revision,
+                value: value === null || value === undefined ? undefined : decode(value),
+            }));
+            const page: FeedPage<T> = { entries, revision: parsed.data.revision };
+            follower.merge(page);
+            return true;
+        },
+    };
+}
--- /dev/null
+++ b/gateway/src/sharedFeed.ts
@@ -0,0 +1,9 @@
+/** A feed whose objects hosts pass on to each other. */
+export interface SharedFeed {
+    /** Revision of the newest change that this host knows. */
+    readonly revision: number;
+    /** All that this host knows, for another host. */
+    encode(): unknown;
+    /** Takes what another host knows; false if it is not valid. */
+    merge(sent: unknown): boolean;
+}
--- /dev/null
+++ b/gateway/src/targetLinks.ts
@@ -0,0 +1,44 @@
+import { ConnectionPool } from "@pistachioreel/forwarding";
+import type { Target } from "@pistachioreel/placement";
+import type { Dialect } from "./dialect.js";
+
+interface TargetLinksOptions {
+    readonly localAddress: string;
+    readonly dialect: Dialect;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+    readonly onOpened: () => void;
+}
+
+/** Connection pools, one for each run of a target. */
+export class TargetLinks {
+    private readonly pools = new Map<string, ConnectionPool>();
+
+    constructor(private readonly opts: TargetLinksOptions) {}
+
+    poolOf(target: Target): ConnectionPool {
+        const key = keyOf(target);
+        let pool = this.pools.get(key);
+        if (pool === undefined) {
+            const { localAddress, dialect: ownership, now, onOpened } = this.opts;
+            pool = new ConnectionPool({ address: target.address, localAddress, ownership, now, onOpened });
+            this.pools.set(key, pool);
+        }
+        return pool;
+    }
+
+    /** Closes connections to targets that are gone once their requests have ended. */
+    retain(targets: readonly Target[]): void {
+        const keys = new Set(targets.map(keyOf));
+        for (const [key, pool] of this.pools) {
+            if (!keys.has(key)) {
+                this.pools.delete(key);
+                pool.close();
+            }
+        }
+    }
+}
+
+function keyOf({ id, incarnation, address }: Target): string {
+    return `${id}/${incarnation}/${address}`;
+}
--- /dev/null
+++ b/placement/src/index.ts
@@ -0,0 +1,11 @@
+export { ColdAdmission } from "./coldAdmission.js";
+export { Placement } from "./placement.js";
+export type { PlacementChoice } from "./placementChoice.js";
+export type { PlacementRequest } from "./placementRequest.js";
+export type { ReportedLoad } from "./reportedLoad.js";
+export type { Target } from "./target.js";
+export { TargetHealth } from "./targetHealth.js";
+export { TargetLoads } from "./targetLoads.js";
+export { TargetRegistry } from "./targetRegistry.js";
+export { WarmObjects } from "./warmObjects.js";
+export { WorkTimes } from "./workTimes.js";
--- /dev/null
+++ b/placement/src/targetHealth.ts
@@ -0,0 +1,99 @@
+import type { Target } from "./target.js";
+
+interface TargetHealthOptions {
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+interface Health {
+    blockedUntil: number;
+    failuresInRow: number;
+    /** Until then the target gets no more than a cold one would. */
+    unprovenUntil: number;
+    errorShare: number;
+    slowness: number;
+}
+
+const MIN_BLOCK_MS = 300;
+const MAX_BLOCK_MS = 3_000;
+/** A target that could not be reached may have restarted, and may be cold without having said so yet. */
+const UNPROVEN_MS = 5_000;
+const LOSSES_UNTIL_BLOCK = 2;
+const SMOOTHING = 0.15;
+const MAX_SLOWNESS = 12;
+
+/** What this host has experienced with each target: failures, errors and slowness. */
+export class TargetHealth {
+    private readonly health = new Map<string, Health>();
+
+    constructor(private readonly opts: TargetHealthOptions) {}
+
+    isBlocked(target: Target): boolean {
+        return (this.health.get(keyOf(target))?.blockedUntil ?? 0) > this.opts.now();
+    }
+
+    /** Whether the target may have restarted without this host knowing. */
+    isUnproven(target: Target): boolean {
+        return (this.health.get(keyOf(target))?.unprovenUntil ?? 0) > this.opts.now();
+    }
+
+    /** Share of answers that were errors, lately. */
+    errorShare(target: Target): number {
+        return this.health.get(keyOf(target))?.errorShare ?? 0;
+    }
+
+    /** How many times longer than expected the target takes. */
+    slowness(target: Target): number {
+        return this.health.get(keyOf(target))?.slowness ?? 1;
+    }
+
+    noteUnreachable(target: Target): void {
+        const health = this.of(target);
+        health.unprovenUntil = this.opts.now() + UNPROVEN_MS;
+        this.block(health);
+    }
+
+    noteLoss(target: Target): void {
+        const health = this.of(target);
+        health.failuresInRow++;
+        health.errorShare += SMOOTHING * (1 - health.errorShare);
+        if (health.failuresInRow >= LOSSES_UNTIL_BLOCK) {
+            this.block(health);
+        }
+    }
+
+    /** @param ratio Time that the answer took, relative to what was expected. */
+    noteAnswer(target: Target, isError: boolean, ratio: number | undefined): void {
+        const health = this.of(target);
+        health.failuresInRow = 0;
+        health.errorShare += SMOOTHING * (Number(isError) - health.errorShare);
+        if (ratio !== undefined && !isError) {
+            health.slowness += SMOOTHING * (Math.min(MAX_SLOWNESS, ratio) - health.slowness);
+        }
+    }
+
+    /** Forgets targets that are gone. */
+    retain(targets: readonly Target[]): void {
+        const keys = new Set(targets.map(keyOf));
+        [...this.health.keys()].filter(key => !keys.has(key)).forEach(key => this.health.delete(key));
+    }
+
+    private block(health: Health): void {
+        const ms = Math.min(MAX_BLOCK_MS, MIN_BLOCK_MS * 2 ** health.failuresInRow++);
+        health.blockedUntil = this.opts.now() + ms * (0.75 + Math.random() / 2);
+    }
+
+    private of(target: Target): Health {
+        const key = keyOf(target);
+        let health = this.health.get(key);
+        if (health === undefined) {
+            health = { blockedUntil: 0, failuresInRow: 0, unprovenUntil: 0, errorShare: 0, slowness: 1 };
+            this.health.set(key, health);
+        }
+        return health;
+    }
+}
+
+function keyOf({ id, incarnation }: Target): string {
+    return `${id}/${incarnation}`;
+}
--- /dev/null
+++ b/placement/src/targetLoads.ts
@@ -0,0 +1,99 @@
+import type { ReportedLoad } from "./reportedLoad.js";
+
+interface TargetLoadsOptions {
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+interface KnownReport {
+    readonly total: number;
+    /** Requests of this host when the report arrived. */
+    readonly own: number;
+    readonly at: number;
+}
+
+interface PeerLoad {
+    readonly running: ReadonlyMap<string, number>;
+    readonly at: number;
+}
+
+/** A report of the target itself is preferred to the counts of peers up to this age, in ms. */
+const REPORT_FRESH_MS = 150;
+const REPORT_MAX_AGE_MS = 600;
+const PEER_MAX_AGE_MS = 1_500;
+
+/** Requests that targets run or hold in their queues: own ones, those of other hosts, and what targets report. */
+export class TargetLoads {
+    private readonly own = new Map<string, number>();
+    private readonly reports = new Map<string, KnownReport>();
+    private readonly peers = new Map<string, PeerLoad>();
+    private readonly fullUntil = new Map<string, number>();
+
+    constructor(private readonly opts: TargetLoadsOptions) {}
+
+    /** Requests that this host has at targets now. */
+    get running(): ReadonlyMap<string, number> {
+        return this.own;
+    }
+
+    /** Counts a request at the target; returns the function that ends the count. */
+    start(targetId: string): () => void {
+        this.own.set(targetId, this.ownOn(targetId) + 1);
+        let hasEnded = false;
+        return () => {
+            if (hasEnded) {
+                return;
+            }
+            hasEnded = true;
+            const left = this.ownOn(targetId) - 1;
+            if (left > 0) {
+                this.own.set(targetId, left);
+            }
+            else {
+                this.own.delete(targetId);
+            }
+        };
+    }
+
+    /** Takes the load that a target reported with the answer to a request that still counts as running. */
+    report(targetId: string, { running, waiting }: ReportedLoad): void {
+        this.reports.set(targetId, { total: running + waiting, own: this.ownOn(targetId) - 1, at: this.opts.now() });
+    }
+
+    setPeer(hostId: string, running: ReadonlyMap<string, number>): void {
+        this.peers.set(hostId, { running, at: this.opts.now() });
+    }
+
+    /** Takes note that the target refused a request because it was full. */
+    noteFull(targetId: string, forMs: number): void {
+        this.fullUntil.set(targetId, this.opts.now() + forMs);
+    }
+
+    isFull(targetId: string): boolean {
+        return (this.fullUntil.get(targetId) ?? 0) > this.opts.now();
+    }
+
+    /** Requests at the target, of all hosts, as far as is known. */
+    loadOf(targetId: string): number {
+        return this.ownOn(targetId) + this.othersOn(targetId);
+    }
+
+    private ownOn(targetId: string): number {
+        return this.own.get(targetId) ?? 0;
+    }
+
+    private othersOn(targetId: string): number {
+        const now = this.opts.now();
+        const report = this.reports.get(targetId);
+        const ageMs = report === undefined ? Infinity : now - report.at;
+        const reported = report === undefined ? 0 : Math.max(0, report.total - report.own);
+        if (ageMs <= REPORT_FRESH_MS) {
+            return reported;
+        }
+        let counted = 0;
+        for (const { running, at } of this.peers.values()) {
+            counted += now - at <= PEER_MAX_AGE_MS ? running.get(targetId) ?? 0 : 0;
+        }
+        return ageMs <= REPORT_MAX_AGE_MS ? (counted + reported) / 2 : counted;
+    }
+}
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -60,6 +60,13 @@
         "it is not known whether the write took effect",
         "run the same command again",
     ),
+    historyGone: code(
+        2011,
+        410,
+        "none",
+        "the store no longer knows what changed since a revision",
+        "read the objects again",
+    ),
     storeDenied: code(2010, 403, "none", "the store does not allow the call", "check the store token and its rights"),
 
     // 3xxx: refusals of requests
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,27 +1,12 @@
-import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, renameSync, writeFileSync } from "node:fs";
 import { inject } from "postject";
+import { bundle } from "./bundle.mjs";
 
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const BUNDLE = "dist/pistachioreel.cjs";
 const BINARY = "dist/pistachioreel";
 
-/** @param {string} entryPoint @param {string} outfile */
-async function bundle(entryPoint, outfile) {
-    await build({
-        entryPoints: [entryPoint],
-        outfile,
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "cjs",
-        // jsonc-parser's UMD build requires files at run time, which a bundle does not have.
-        mainFields: ["module", "main"],
-        logLevel: "warning",
-    });
-}
-
 mkdirSync("dist", { recursive: true });
 await bundle("cli/src/main.ts", BUNDLE);
 await bundle("testing/src/standInMain.ts", "dist/standIn.cjs");
