--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -122,7 +122,12 @@
         const retryAfterMs = workspace === undefined ? undefined : this.opts.limits.admit(workspace);
         const deadlineAt = arrivedAt + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
         if (retryAfterMs !== undefined) {
-            this.refuse(response, caller, new Failure("rateExceeded"), { retryAfterMs, deadlineAt, route });
+            this.refuse(response, caller, new Failure("rateExceeded"), {
+                retryAfterMs,
+                deadlineAt,
+                route,
+                workspace: workspace?.name,
+            });
             return;
         }
         const bytes = body.value?.length ?? 0;
@@ -207,11 +212,12 @@
         response: ServerResponse,
         caller: CallerRequest,
         failure: Failure,
-        { retryAfterMs, deadlineAt = Infinity, target, route, isBroken = false, tookMs }: {
+        { retryAfterMs, deadlineAt = Infinity, target, route, workspace, isBroken = false, tookMs }: {
             retryAfterMs?: number | undefined;
             deadlineAt?: number;
             target?: string | undefined;
             route?: Route;
+            workspace?: string | undefined;
             isBroken?: boolean;
             tookMs?: number;
         } = {},
@@ -226,6 +232,7 @@
                 route: route?.name,
                 code: number,
                 reason: code,
+                workspace,
                 target,
                 state,
                 tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
--- a/placement/src/placement.ts
+++ b/placement/src/placement.ts
@@ -28,6 +28,8 @@
     readonly isWarm: boolean;
     readonly expectedMs: number;
     readonly baseMs: number;
+    /** Time that the request takes even if its work is quick, in ms. */
+    readonly leastMs: number;
     /** Expected time plus what the choice costs others, in ms. */
     readonly cost: number;
 }
@@ -44,6 +46,8 @@
 /** Share of the requests for a warm object that go to its cold home, so that the home becomes warm. */
 const HOME_WARMING_SHARE = 0.1;
 const COLD_TARGET_FACTOR = 2;
+/** Part of the mean time that a quick request takes. */
+const QUICK_SHARE = 0.6;
 const MIN_RETRY_AFTER_MS = 100;
 
 /** Chooses a target for each request by the time in which it is expected to answer. */
@@ -67,8 +71,9 @@
             ? this.cheapest(candidates)
             : this.chooseForObject(candidates, this.homesOf(request.object, request, allowed), request);
         const timeLeftMs = request.deadlineAt - this.opts.now();
-        if (chosen.expectedMs > timeLeftMs) {
-            const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, chosen.expectedMs - timeLeftMs);
+        // Only what has been measured may refuse a request: an assumed time can be far off.
+        if (chosen.leastMs > timeLeftMs) {
+            const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, chosen.leastMs - timeLeftMs);
             return { refusal: "noRoom", retryAfterMs };
         }
         const { target, isWarm, expectedMs, baseMs } = chosen;
@@ -129,10 +134,12 @@
         const baseMs = times.expect({ service, route, isWarm, objectiveMs });
         const ahead = Math.max(0, loads.loadOf(target.id) + 1 - target.slots);
         const waitMs = ahead / target.slots * times.meanOf(service, objectiveMs) * slowness;
+        const measuredMs = times.measured({ service, route, isWarm, objectiveMs });
+        const leastMs = waitMs + measuredMs * QUICK_SHARE;
         const expectedMs = this.roundTripMs(target) + waitMs + baseMs * slowness;
         const fullMs = loads.isFull(target.id) ? objectiveMs : 0;
         const cost = expectedMs + health.errorShare(target) * 2 * objectiveMs + fullMs;
-        return { target, isWarm, expectedMs, baseMs, cost };
+        return { target, isWarm, expectedMs, baseMs, leastMs, cost };
     }
 
     private roundTripMs({ availabilityZone, region }: Target): number {
--- a/placement/src/workTimes.ts
+++ b/placement/src/workTimes.ts
@@ -28,6 +28,11 @@
         return this.means.get(nameOf(key)) ?? key.objectiveMs * share;
     }
 
+    /** Expected time of one request as measured, in ms; 0 if nothing has been measured. */
+    measured(key: WorkKey): number {
+        return this.means.get(nameOf(key)) ?? 0;
+    }
+
     /** Mean time of all requests of the service, in ms. */
     meanOf(service: string, objectiveMs: number): number {
         return this.serviceMeans.get(service) ?? objectiveMs * ASSUMED_WARM_SHARE;
