--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -46,7 +46,7 @@
     /** The answer, once the state is `whole`. */
     get answer(): TargetAnswer {
         const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks);
-        return { status: this.status, headers: this.headers, body };
+        return { status: this.status, headers: this.headers, body, isFramed: this.isFramed };
     }
 
     read(chunk: Buffer): ReadState {
--- a/forwarding/src/targetAnswer.ts
+++ b/forwarding/src/targetAnswer.ts
@@ -4,4 +4,6 @@
     /** Alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer;
+    /** Whether the answer states where it ends; one that does not ends with its connection. */
+    readonly isFramed: boolean;
 }
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -46,8 +46,6 @@
 const MIN_LINGER_MS = 2_600;
 const STOP_POLL_MS = 20;
 const ANNOUNCE_RETRY_MS = 500;
-/** After its start a store that was unreachable may have lost entries of targets that live. */
-const STORE_RETURN_MS = 2_200;
 const MS_PER_SECOND = 1_000;
 /** Budgets of hosts add up; the rest is a margin for hosts that restart with a full budget. */
 const RETRY_SHARE_USED = 0.75;
@@ -198,7 +196,6 @@
         this.logger.info({ event: "host-leaving", fields: { running: this.listener.running } });
         await this.linger(startedAt + stopTimeout * LINGER_SHARE, startedAt + MIN_LINGER_MS);
         this.listener.server.close();
-        this.listener.server.closeIdleConnections();
         const endAt = startedAt + stopTimeout - STOP_MARGIN_MS;
         while (this.listener.running > 0 && monotonicNow() < endAt) {
             await sleep(STOP_POLL_MS);
@@ -206,6 +203,11 @@
         const drained = this.listener.running === 0;
         this.stopping.abort();
         this.mesh.stop();
+        this.links.retain([]);
+        [this.listener.server, ...this.service.servers].forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
         this.logger.info({ event: "host-stopped", fields: { drained } });
         await this.lines.flush();
         return drained;
@@ -240,7 +242,7 @@
         const shared = { logger, now: monotonicNow, signal: this.stopping.signal };
         const hold = new RemovalHold({
             registry: this.registry,
-            wasStoreLost: () => this.wasStoreLost,
+            storeRegainedAt: () => this.storeRegainedAt,
             drainBoundMs: this.settings.drainBound,
             now: monotonicNow,
         });
@@ -273,11 +275,11 @@
         };
     }
 
-    private get wasStoreLost(): boolean {
-        const now = monotonicNow();
-        return Object.values(this.followers).some(follower =>
-            follower.isLost || now - follower.regainedAt < STORE_RETURN_MS
-        );
+    private get storeRegainedAt(): number | undefined {
+        const followers = Object.values(this.followers);
+        return followers.some(follower => follower.isLost)
+            ? undefined
+            : Math.max(...followers.map(follower => follower.regainedAt));
     }
 
     private takeDesiredState(state: DesiredState): void {
--- a/gateway/src/removalHold.ts
+++ b/gateway/src/removalHold.ts
@@ -3,8 +3,8 @@
 
 interface RemovalHoldOptions {
     readonly registry: TargetRegistry;
-    /** Whether the store has been unreachable just now. */
-    readonly wasStoreLost: () => boolean;
+    /** Monotonic time in ms at which the store was last reached again; `undefined` while it is unreachable. */
+    readonly storeRegainedAt: () => number | undefined;
     /** Time within which a target that has left must get no more requests, in ms. */
     readonly drainBoundMs: number;
     /** Monotonic time in ms. */
@@ -52,11 +52,12 @@
     private delayOf(unannounced: number): number {
         const now = this.opts.now();
         this.recent = [...this.recent.filter(at => now - at < GROUP_MS), ...new Array<number>(unannounced).fill(now)];
-        if (this.opts.wasStoreLost()) {
-            return RETURN_MS;
+        const boundMs = Math.min(RETURN_MS, Math.max(0, this.opts.drainBoundMs - DRAIN_MARGIN_MS));
+        const regainedAt = this.opts.storeRegainedAt();
+        if (regainedAt === undefined || this.recent.length >= SUSPICIOUS_REMOVALS) {
+            return boundMs;
         }
-        const bound = Math.max(0, this.opts.drainBoundMs - DRAIN_MARGIN_MS);
-        return this.recent.length >= SUSPICIOUS_REMOVALS ? Math.min(RETURN_MS, bound) : 0;
+        return Math.min(boundMs, Math.max(0, regainedAt + RETURN_MS - now));
     }
 
     private hold(name: string, delayMs: number): void {
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -1,4 +1,5 @@
 import { type DesiredState, type Route, SplitChooser, type Workspace } from "@pistachioreel/desired-state";
+import type { TargetAnswer } from "@pistachioreel/forwarding";
 import type { Logger } from "@pistachioreel/logging";
 import { Failure, resultCodes } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
@@ -191,6 +192,7 @@
                 route: route.name,
                 target,
                 sends,
+                object: caller.object,
                 status: answer.status,
                 tookMs: Math.round(tookMs),
             },
@@ -198,13 +200,22 @@
         if (response.destroyed) {
             return;
         }
+        this.prepare(response);
+        this.pass(response, answer);
+    }
+
+    private pass(response: ServerResponse, answer: TargetAnswer): void {
         const headers = this.opts.dialect.callerHeaders(answer);
         const hasBody = answer.status !== 204 && answer.status !== 304;
-        this.prepare(response);
-        response.writeHead(
-            answer.status,
-            hasBody ? [...headers, "Content-Length", String(answer.body.length)] : headers,
-        );
+        if (!answer.isFramed) {
+            // A length would state that the answer is whole, which its target has not done.
+            response.shouldKeepAlive = false;
+            response.useChunkedEncodingByDefault = false;
+        }
+        else if (hasBody) {
+            headers.push("Content-Length", String(answer.body.length));
+        }
+        response.writeHead(answer.status, headers);
         response.end(hasBody ? answer.body : undefined);
     }
 
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -157,7 +157,8 @@
         });
         const { id, method, url: path } = request;
         const outgoing = { id, method, path, headers, body };
-        const result = await links.poolOf(target).exchange(outgoing, limit.signal, route.isIdempotent);
+        const exchanged = await links.poolOf(target).exchange(outgoing, limit.signal, route.isIdempotent);
+        const result = await this.checkEnd(target, exchanged);
         limit.end();
         const verdict = result.end === "answered" ? dialect.verdictOf(result.answer) : undefined;
         if (verdict?.load !== undefined) {
@@ -215,7 +216,7 @@
             this.log("attempt-refused", request, target, verdict.meaning);
             return this.mayRepeat(request, progress) ? undefined : this.fail(progress, new Failure("targetRefused"));
         }
-        const { answer } = sent.result as Extract<ExchangeResult, { end: "answered" }>;
+        const { answer } = sent.result as Extract<ExchangeResult, { end: "answered"; }>;
         if (answer.status >= ERROR_STATUS && request.route.isIdempotent && this.mayRepeat(request, progress)) {
             progress.mayHaveRun = true;
             progress.failedAnswer = answer;
@@ -252,6 +253,14 @@
         return { failure: told, retryAfterMs, sends, target };
     }
 
+    /** A connection that ends also ends an answer without a length, and a crash ends a connection as well. */
+    private async checkEnd(target: Target, result: ExchangeResult): Promise<ExchangeResult> {
+        const isDoubtful = result.end === "answered" && !result.answer.isFramed;
+        return isDoubtful && await this.isTargetGone(target)
+            ? { end: "lost", reason: "the target ended with its answer" }
+            : result;
+    }
+
     /** Whether a target is gone that lost a connection; one that accepts another connection lost only that one. */
     private async isTargetGone(target: Target): Promise<boolean> {
         const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
