--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/node_modules/**", "dist/**"] },
+    { ignores: ["**/node_modules/**", "dist/**", "target/**"] },
     {
         files: ["**/*.ts"],
         extends: [tseslint.configs.recommended],
--- a/gateway/src/relayedRequest.ts
+++ b/gateway/src/relayedRequest.ts
@@ -13,8 +13,8 @@
     readonly workspace: Workspace | undefined;
     readonly key: string | undefined;
     readonly object: string | undefined;
-    /** Monotonic time in ms at which its head arrived. */
-    readonly arrivedAt: number;
+    /** Monotonic time in ms until which an answer earns its full benefit. */
+    readonly objectiveAt: number;
     /** Monotonic time in ms at which the caller or the route gives up. */
     readonly deadlineAt: number;
 }
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Duplex } from "node:stream";
 import type { CallerRequest } from "./callerRequest.js";
+import { CallerWaits } from "./callerWaits.js";
 import type { Dialect } from "./dialect.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { readBody } from "./readBody.js";
@@ -43,6 +44,7 @@
 export class RequestListener {
     readonly server: Server;
     private readonly split = new SplitChooser();
+    private readonly waits = new CallerWaits();
     private runningCount = 0;
     private connectionCount = 0;
     private heldBytes = 0;
@@ -144,7 +146,7 @@
             workspace,
             key: caller.key,
             object: caller.object === undefined || !route.isSticky ? undefined : `${route.name}:${caller.object}`,
-            arrivedAt,
+            objectiveAt: arrivedAt + route.objectiveMs - this.waits.waitedMs(route.name, caller.deadlineMs),
             deadlineAt,
         }, left.signal);
         this.heldBytes -= bytes;
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -114,7 +114,7 @@
         progress: Progress,
         signal: AbortSignal,
     ): Promise<Sent | RelayResult> {
-        const { route, service, object, body, deadlineAt, arrivedAt, workspace, key } = request;
+        const { route, service, object, body, deadlineAt, objectiveAt, workspace, key } = request;
         const { placement, loads, registry, health, cold, warm, times, links, dialect, now } = this.opts;
         const choice = placement.choose({
             service,
@@ -124,7 +124,7 @@
             excluded: progress.excluded,
             bodyBytes: body?.length ?? 0,
             objectiveMs: route.objectiveMs,
-            objectiveAt: arrivedAt + route.objectiveMs,
+            objectiveAt,
             deadlineAt,
         });
         if ("refusal" in choice) {
--- a/placement/src/placement.ts
+++ b/placement/src/placement.ts
@@ -30,6 +30,8 @@
     readonly baseMs: number;
     /** Time that the request takes even if its work is quick, in ms. */
     readonly leastMs: number;
+    /** Requests at the target, as far as is known. */
+    readonly load: number;
     /** Expected time plus what the choice costs others, in ms. */
     readonly cost: number;
 }
@@ -40,24 +42,32 @@
 const FAR_ROUND_TRIP_MS = 35;
 /** Requests of this size stay in the region, as the links between regions are shared by all traffic. */
 const LARGE_BODY_BYTES = 16 * 1024;
-/** Targets of each object on which hosts agree; work elsewhere pushes other objects out of a target's memory. */
-const HOMES = 2;
-const FOREIGN_COST_SHARE = 0.5;
-/** Share of the requests for a warm object that go to its cold home, so that the home becomes warm. */
-const HOME_WARMING_SHARE = 0.1;
+/** Requests wait for a warm target with up to this many requests for each slot before a second one becomes warm. */
+const PATIENT_LOAD_SHARE = 2;
+/** Requests are refused when their warm target has this many requests for each slot. */
+const MAX_LOAD_SHARE = 3.5;
+/** Share of the requests for a warm object that go to a cold home which remembers far fewer objects. */
+const MOVE_SHARE = 0.1;
+const MOVE_FACTOR = 2;
+/** A cold home takes over from a busy warm one while less than this share of its slots is taken. */
+const IDLE_SHARE = 0.5;
 const COLD_TARGET_FACTOR = 2;
+/** A target that has just refused a request has a full queue: this many requests for each slot. */
+const FULL_LOAD_SHARE = 4;
 /** Part of the mean time that a quick request takes. */
 const QUICK_SHARE = 0.6;
-const MIN_RETRY_AFTER_MS = 100;
+/** Refused callers come back after one to two times this time. */
+const RETRY_AFTER_MS = 300;
 
 /** Chooses a target for each request by the time in which it is expected to answer. */
 export class Placement {
-    private readonly ranking = new HomeRanking();
+    private readonly ranking: HomeRanking;
     private rankedRevision = -1;
     private readonly random: () => number;
 
     constructor(private readonly opts: PlacementOptions) {
         this.random = opts.random ?? Math.random;
+        this.ranking = new HomeRanking(opts.region);
     }
 
     choose(request: PlacementRequest): PlacementChoice {
@@ -65,42 +75,49 @@
         const candidates = allowed.filter(target => this.isAvailable(target, request))
             .map((target): Candidate => this.assess(target, request));
         if (candidates.length === 0) {
-            return { refusal: "noTarget", retryAfterMs: MIN_RETRY_AFTER_MS };
+            return { refusal: "noTarget", retryAfterMs: RETRY_AFTER_MS * (1 + this.random()) };
         }
         const chosen = request.object === undefined
             ? this.cheapest(candidates)
             : this.chooseForObject(candidates, this.homesOf(request.object, request, allowed), request);
-        const timeLeftMs = request.deadlineAt - this.opts.now();
-        // Only what has been measured may refuse a request: an assumed time can be far off.
-        if (chosen.leastMs > timeLeftMs) {
-            const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, chosen.leastMs - timeLeftMs);
-            return { refusal: "noRoom", retryAfterMs };
+        if (chosen === undefined || chosen.leastMs > request.deadlineAt - this.opts.now()) {
+            return { refusal: "noRoom", retryAfterMs: RETRY_AFTER_MS * (1 + this.random()) };
         }
         const { target, isWarm, expectedMs, baseMs } = chosen;
         return { target, isWarm, expectedMs, baseMs };
     }
 
-    /** The home takes a request as long as it can answer in time, so that the object stays warm in few places. */
+    /**
+     * An object is handled where it is warm, even if its requests have to wait there: work on a cold object takes a
+     * multiple of the time, so that spreading an overload would make it larger.
+     */
     private chooseForObject(
         candidates: readonly Candidate[],
         homes: readonly Target[],
         request: PlacementRequest,
-    ): Candidate {
+    ): Candidate | undefined {
         const timeLeftMs = request.objectiveAt - this.opts.now();
-        const home = candidates.find(({ target }) => target === homes[0]);
-        if (home !== undefined && home.expectedMs <= timeLeftMs) {
+        const byRank = homes.flatMap(home => candidates.find(({ target }) => target === home) ?? []);
+        const [home, second] = byRank;
+        const warm = candidates.filter(({ isWarm }) => isWarm);
+        if (warm.length === 0 || home === undefined) {
             return home;
         }
-        if (home !== undefined && !home.isWarm && this.random() < HOME_WARMING_SHARE) {
-            return home;
+        const best = this.cheapest(warm);
+        if (best.expectedMs <= timeLeftMs || best.load < best.target.slots * PATIENT_LOAD_SHARE) {
+            return !home.isWarm && this.shouldMove(best.target, home.target) ? home : best;
+        }
+        const cold = [home, second].find(candidate => candidate?.isWarm === false);
+        if (cold !== undefined && cold.load < cold.target.slots * IDLE_SHARE) {
+            return cold;
         }
-        const isHome = (target: Target) => homes.slice(0, HOMES).includes(target);
-        const weighed = candidates.map(candidate =>
-            candidate.isWarm || isHome(candidate.target)
-                ? candidate
-                : { ...candidate, cost: candidate.cost * (1 + FOREIGN_COST_SHARE) }
-        );
-        return this.cheapest(weighed);
+        return best.load < best.target.slots * MAX_LOAD_SHARE ? best : undefined;
+    }
+
+    /** Moves an object now and then to a home that remembers far fewer, such as a target that has just joined. */
+    private shouldMove(from: Target, to: Target): boolean {
+        const { warm } = this.opts;
+        return warm.countOn(to) * MOVE_FACTOR < warm.countOn(from) && this.random() < MOVE_SHARE;
     }
 
     /** Candidates that cost the same are equally good; a random one keeps hosts from choosing the same. */
@@ -132,14 +149,14 @@
         const isWarm = object !== undefined && warm.isWarm(target, object);
         const slowness = health.slowness(target) * (registry.isCold(target) ? COLD_TARGET_FACTOR : 1);
         const baseMs = times.expect({ service, route, isWarm, objectiveMs });
-        const ahead = Math.max(0, loads.loadOf(target.id) + 1 - target.slots);
+        const load = loads.isFull(target.id) ? FULL_LOAD_SHARE * target.slots : loads.loadOf(target.id);
+        const ahead = Math.max(0, load + 1 - target.slots);
         const waitMs = ahead / target.slots * times.meanOf(service, objectiveMs) * slowness;
         const measuredMs = times.measured({ service, route, isWarm, objectiveMs });
         const leastMs = waitMs + measuredMs * QUICK_SHARE;
         const expectedMs = this.roundTripMs(target) + waitMs + baseMs * slowness;
-        const fullMs = loads.isFull(target.id) ? objectiveMs : 0;
-        const cost = expectedMs + health.errorShare(target) * 2 * objectiveMs + fullMs;
-        return { target, isWarm, expectedMs, baseMs, leastMs, cost };
+        const cost = expectedMs + health.errorShare(target) * 2 * objectiveMs;
+        return { target, isWarm, expectedMs, baseMs, leastMs, load, cost };
     }
 
     private roundTripMs({ availabilityZone, region }: Target): number {
--- a/placement/src/warmObjects.ts
+++ b/placement/src/warmObjects.ts
@@ -25,6 +25,11 @@
         return this.byTarget.get(keyOf(target))?.has(object) ?? false;
     }
 
+    /** Objects that the target is taken to remember. */
+    countOn(target: Target): number {
+        return this.byTarget.get(keyOf(target))?.size ?? 0;
+    }
+
     /** Pairs that are new since the last call, for the other hosts. */
     takeNoted(): [targetKey: string, object: string][] {
         const { noted } = this;
