--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -10,6 +10,12 @@
     readonly maxBytes: number;
 }
 
+/** Position of the parser in the bytes that it is reading; its type declarations leave it out. */
+interface ParserPosition {
+    readonly offset: number;
+    readonly end: number;
+}
+
 /** `reading`: more bytes are needed. `whole`: the answer is complete. `invalid`: no answer can be had. */
 type ReadState = "reading" | "whole" | "invalid";
 
@@ -54,9 +60,6 @@
         if (this.state === "reading" && parsed instanceof Error) {
             this.state = "invalid";
         }
-        if (this.state === "whole" && (parsed instanceof Error || parsed < chunk.length)) {
-            this.hasSurplus = true;
-        }
         return this.state;
     }
 
@@ -110,6 +113,9 @@
     private takeEnd(): void {
         if (this.state === "reading" && this.owner === "own") {
             this.state = "whole";
+            // The parser would take bytes after the answer for the beginning of another one.
+            const { offset, end } = this.parser as unknown as ParserPosition;
+            this.hasSurplus = offset < end;
         }
         else if (this.state === "reading") {
             this.owner = undefined;
