--- /dev/null
+++ b/placement/test/fixtures.ts
@@ -0,0 +1,70 @@
+import { ColdAdmission } from "../src/coldAdmission.js";
+import { Placement } from "../src/placement.js";
+import type { PlacementRequest } from "../src/placementRequest.js";
+import type { Target } from "../src/target.js";
+import { TargetHealth } from "../src/targetHealth.js";
+import { TargetLoads } from "../src/targetLoads.js";
+import { TargetRegistry } from "../src/targetRegistry.js";
+import { WarmObjects } from "../src/warmObjects.js";
+import { WorkTimes } from "../src/workTimes.js";
+
+/** A target that is live and warm. */
+export function newTarget(id: string, opts: Partial<Target> = {}): Target {
+    return {
+        id,
+        incarnation: 1,
+        address: "127.0.0.1:1",
+        service: "svc",
+        availabilityZone: "n-a",
+        region: "north",
+        slots: 4,
+        isDraining: false,
+        coldMs: 0,
+        ...opts,
+    };
+}
+
+/** A request for an object, with 2 s left. */
+export function newRequest(clock: { now: number; }, opts: Partial<PlacementRequest> = {}): PlacementRequest {
+    return {
+        service: "svc",
+        route: "read",
+        object: "o1",
+        regions: undefined,
+        excluded: new Set(),
+        bodyBytes: 0,
+        objectiveMs: 250,
+        objectiveAt: clock.now + 250,
+        deadlineAt: clock.now + 2_000,
+        ...opts,
+    };
+}
+
+interface HostOptions {
+    readonly clock: { now: number; };
+    readonly targets: readonly Target[];
+    readonly hostId?: string;
+    readonly hostIds?: readonly string[];
+    readonly coldLimit?: number;
+    /** What the random source of the host gives each time. */
+    readonly random?: number;
+}
+
+/** Everything by which one host places requests, on a clock that the test moves. */
+export function newHost(
+    { clock, targets, hostId = "h1", hostIds = ["h1"], coldLimit = 20, random = 0.5 }: HostOptions,
+) {
+    const now = () => clock.now;
+    const registry = new TargetRegistry({ now });
+    targets.forEach(target => registry.put(target));
+    const parts = {
+        registry,
+        loads: new TargetLoads({ now }),
+        warm: new WarmObjects(),
+        health: new TargetHealth({ now }),
+        times: new WorkTimes(),
+        cold: new ColdAdmission({ hostId, hostIds: () => hostIds, limitOf: () => coldLimit, now }),
+    };
+    const placement = new Placement({ ...parts, availabilityZone: "n-a", region: "north", now, random: () => random });
+    return { ...parts, placement };
+}
