Limit workspaces by parts of the rate while more is asked for, and make reports and store calls fit larger fleets

Cause: with 82 hosts reports are 1 s old, in which a workspace at 7.5 times its rate can be admitted several times its limit; each report also went out twice a second beside its own interval. Now hosts keep to their part of the rate, which follows their part of the demand, while demand is above 0.9 of the rate; reports name only what changed and replace heartbeats; hosts wait 10 ms a host for changes to come in groups. Ruled out: parts of the rate at all times, which refuse a workspace at 0.6 of its rate on 82 hosts.

--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -9,6 +9,8 @@
     readonly feed: ObjectFeed<T>;
     /** Called with entries that changed. */
     readonly onChange: (changed: readonly FeedEntry<T>[]) => void;
+    /** Hosts that follow the store. */
+    readonly hostCount: () => number;
     readonly logger: Logger;
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -16,8 +18,9 @@
 }
 
 const WAIT_MS = 20_000;
-/** Changes often come in groups; a pause lets one call bring a group. */
-const GROUP_PAUSE_MS = 40;
+/** Changes often come in groups; a pause lets one call bring a group. Each host adds to it, as each makes the call. */
+const GROUP_PAUSE_MS_PER_HOST = 10;
+const MAX_GROUP_PAUSE_MS = 900;
 const MIN_BACKOFF_MS = 150;
 const MAX_BACKOFF_MS = 1_200;
 const MAX_REMOVED_KEPT = 2_000;
@@ -78,7 +81,11 @@
         const { entries, revision } = page.value;
         this.apply(isFull ? [...entries, ...this.missingFrom(page.value)] : entries);
         this.followedTo = revision;
-        return entries.length > 0 ? GROUP_PAUSE_MS : 0;
+        return entries.length > 0 ? this.groupPauseMs : 0;
+    }
+
+    private get groupPauseMs(): number {
+        return Math.min(MAX_GROUP_PAUSE_MS, GROUP_PAUSE_MS_PER_HOST * this.opts.hostCount());
     }
 
     private takeFailure(failure: Failure): number {
--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -35,11 +35,11 @@
 
 /** Exchanges with the other hosts what they have running, admitted and read. */
 export class FleetExchange {
-    private report: HostReport;
+    /** What the next heartbeats say; `undefined` between reports. */
+    private report: HostReport | undefined;
     private readonly asked = new Set<string>();
 
     constructor(private readonly opts: FleetExchangeOptions) {
-        this.report = this.makeReport();
         const { mesh, warm } = opts;
         mesh.attach(PART, { payload: () => this.report, receive: (from, payload) => this.receive(from, payload) });
         mesh.handle(FEED_TYPE, (_from, { feed }) => this.answerFeed(feed));
@@ -64,6 +64,7 @@
     tell(): void {
         this.report = this.makeReport();
         this.opts.mesh.beat();
+        this.report = undefined;
     }
 
     /** Tells a host that has just been linked which targets are warm for what. */
@@ -78,7 +79,7 @@
             state: state(),
             callers,
             running: Object.fromEntries(loads.running),
-            admitted: limits.totals(),
+            admitted: limits.takeReport(),
             revisions: Object.fromEntries(revisions),
             warmed: warm.takeNoted(),
         };
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -98,7 +98,7 @@
             },
         });
         const { mesh } = this;
-        this.limits = new WorkspaceLimits({ shareInTouch: () => this.shareInTouch, now: monotonicNow });
+        this.limits = new WorkspaceLimits({ hosts: () => this.hostCounts, now: monotonicNow });
         this.directory = new HostDirectory({
             availabilityZone,
             region,
@@ -232,14 +232,15 @@
         return [...new Set([this.settings.hostId, ...this.hosts.keys()])];
     }
 
-    private get shareInTouch(): number {
-        const peers = this.mesh.peers().length;
-        return (peers + 1) / Math.max(this.hostIds.length, peers + 1);
+    private get hostCounts(): { inTouch: number; total: number; } {
+        const inTouch = this.mesh.peers().length + 1;
+        return { inTouch, total: Math.max(this.hostIds.length, inTouch) };
     }
 
     private createFollowers(): Gateway["followers"] {
         const { platform, logger } = this;
-        const shared = { logger, now: monotonicNow, signal: this.stopping.signal };
+        const hostCount = () => this.hostIds.length;
+        const shared = { hostCount, logger, now: monotonicNow, signal: this.stopping.signal };
         const hold = new RemovalHold({
             registry: this.registry,
             storeRegainedAt: () => this.storeRegainedAt,
--- a/gateway/src/hostReport.ts
+++ b/gateway/src/hostReport.ts
@@ -7,8 +7,8 @@
     callers: z.string(),
     /** Requests that the host has at each target. */
     running: z.record(z.string(), z.number()),
-    /** Requests that the host has admitted for each workspace since its start. */
-    admitted: z.record(z.string(), z.number()),
+    /** Requests that the host was asked for and has admitted since its start, for each workspace with news. */
+    admitted: z.record(z.string(), z.tuple([z.number(), z.number()])),
     /** Newest revision that the host knows of each feed. */
     revisions: z.record(z.string(), z.number()),
     /** Objects that targets have begun to handle since the report before. */
--- a/gateway/src/workspaceLimits.ts
+++ b/gateway/src/workspaceLimits.ts
@@ -2,8 +2,8 @@
 import { SharedBucket } from "@pistachioreel/limits";
 
 interface WorkspaceLimitsOptions {
-    /** Part of the fleet that this host is in touch with, itself included, from 0 to 1. */
-    readonly shareInTouch: () => number;
+    /** Hosts that this host is in touch with, itself included, and hosts in all. */
+    readonly hosts: () => { readonly inTouch: number; readonly total: number; };
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -22,10 +22,11 @@
 
     /** To be called when hosts come into touch or are lost. */
     resize(): void {
-        const share = this.opts.shareInTouch();
+        const { inTouch, total } = this.opts.hosts();
+        const share = Math.min(1, inTouch / total);
         for (const { name, ratePerSecond: rate, burst } of this.workspaces) {
             if (rate > 0) {
-                this.bucketOf(name).resize({ rate, burst, share });
+                this.bucketOf(name).resize({ rate, burst, share, hosts: inTouch });
             }
         }
     }
@@ -39,14 +40,21 @@
         return bucket.tryTake() ? undefined : bucket.waitMs;
     }
 
-    /** Requests that this host has admitted for each workspace since its start. */
-    totals(): Record<string, number> {
-        return Object.fromEntries([...this.buckets].map(([name, bucket]) => [name, bucket.total]));
+    /** For each workspace with news: requests that this host was asked for and has admitted since its start. */
+    takeReport(): Record<string, [asked: number, taken: number]> {
+        const report: Record<string, [number, number]> = {};
+        for (const [name, bucket] of this.buckets) {
+            const use = bucket.takeReport();
+            if (use !== undefined) {
+                report[name] = [use.asked, use.taken];
+            }
+        }
+        return report;
     }
 
-    notePeer(peer: string, totals: Readonly<Record<string, number>>): void {
-        for (const [name, total] of Object.entries(totals)) {
-            this.buckets.get(name)?.notePeer(peer, total);
+    notePeer(peer: string, report: Readonly<Record<string, readonly [asked: number, taken: number]>>): void {
+        for (const [name, [asked, taken]] of Object.entries(report)) {
+            this.buckets.get(name)?.notePeer(peer, { asked, taken });
         }
     }
 
--- a/limits/src/sharedBucket.ts
+++ b/limits/src/sharedBucket.ts
@@ -1,3 +1,6 @@
+import { DecayingCount } from "./decayingCount.js";
+import { TokenBucket } from "./tokenBucket.js";
+
 interface SharedBucketOptions {
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -10,31 +13,62 @@
     readonly burst: number;
     /** Part of both that the hosts in touch with each other may use, from 0 to 1. */
     readonly share: number;
+    /** Hosts in touch with each other, this one included. */
+    readonly hosts: number;
+}
+
+/** What one host has been asked for and has given since its start. */
+interface BucketUse {
+    readonly asked: number;
+    readonly taken: number;
 }
 
 const MS_PER_SECOND = 1_000;
 /** Left unused, as reports of other hosts arrive late. */
 const USED_BURST_SHARE = 0.8;
+const DEMAND_DECAY_MS = 2_000;
+/** From this share of the rate on, hosts keep to their parts of the rate, as reports come too late to prevent an excess. */
+const SCARCE_SHARE = 0.9;
 
 /**
  * Token bucket that every host keeps a copy of. Each host takes tokens from its own copy and hears what the others took,
  * so a copy can go below zero by what others took at the same time; the debt is paid before the next token is given.
- * Hosts that cannot hear each other each use a part of the rate.
+ * While more is asked for than there is, each host also keeps to its part of the rate, which follows its part of the
+ * demand. Hosts that cannot hear each other each use a part of the rate.
  */
 export class SharedBucket {
     private tokens = 0;
     private updatedAt: number;
-    private size: BucketSize = { rate: 0, burst: 0, share: 1 };
+    private size: BucketSize = { rate: 0, burst: 0, share: 1, hosts: 1 };
+    private asked = 0;
     private taken = 0;
-    private readonly takenByPeer = new Map<string, number>();
+    private reported: BucketUse = { asked: 0, taken: 0 };
+    private readonly peers = new Map<string, BucketUse>();
+    private readonly ownDemand: DecayingCount;
+    private readonly totalDemand: DecayingCount;
+    private readonly part: TokenBucket;
 
     constructor(private readonly opts: SharedBucketOptions) {
-        this.updatedAt = opts.now();
+        const { now } = opts;
+        this.updatedAt = now();
+        this.ownDemand = new DecayingCount({ decayMs: DEMAND_DECAY_MS, now });
+        this.totalDemand = new DecayingCount({ decayMs: DEMAND_DECAY_MS, now });
+        this.part = new TokenBucket({ rate: 0, capacity: 1, now });
     }
 
-    /** Tokens that this host has taken since its start. */
-    get total(): number {
-        return this.taken;
+    /**
+     * What this host has been asked for and has given since its start, for the other hosts; `undefined` if nothing has
+     * changed since the last call. Own demand counts from here on, so that it is as old as that of the others.
+     */
+    takeReport(): BucketUse | undefined {
+        const { asked, taken, reported } = this;
+        if (asked === reported.asked) {
+            return undefined;
+        }
+        this.ownDemand.add(asked - reported.asked);
+        this.totalDemand.add(asked - reported.asked);
+        this.reported = { asked, taken };
+        return this.reported;
     }
 
     resize(size: BucketSize): void {
@@ -45,44 +79,61 @@
 
     tryTake(): boolean {
         this.refill();
-        if (this.tokens < 1) {
+        this.asked++;
+        const hasPart = this.part.level >= 1;
+        if (this.tokens < 1 || this.isScarce && !hasPart) {
             return false;
         }
+        this.part.remove(1);
         this.tokens--;
         this.taken++;
         return true;
     }
 
-    /** Time until a token is there, in ms. */
+    /** Time until a token may be there, in ms. */
     get waitMs(): number {
         this.refill();
-        const rate = this.size.rate * this.size.share;
-        return this.tokens >= 1 ? 0 : rate > 0 ? (1 - this.tokens) / rate * MS_PER_SECOND : Infinity;
+        const rate = this.rate;
+        const commonMs = this.tokens >= 1 ? 0 : rate > 0 ? (1 - this.tokens) / rate * MS_PER_SECOND : Infinity;
+        return Math.max(commonMs, this.isScarce ? this.part.waitMs : 0);
     }
 
     /**
-     * Takes what another run of a host has taken since its start.
+     * Takes what another run of a host reports.
      *
      * @param peer Names the run: a restarted host counts from zero again.
      */
-    notePeer(peer: string, total: number): void {
-        const before = this.takenByPeer.get(peer);
-        this.takenByPeer.set(peer, total);
-        // What a host had taken before it was first heard of belongs to a time that has been accounted for.
-        if (before !== undefined && total > before) {
+    notePeer(peer: string, use: BucketUse): void {
+        const before = this.peers.get(peer);
+        this.peers.set(peer, use);
+        // What a host did before it was first heard of belongs to a time that has been accounted for.
+        if (before !== undefined) {
             this.refill();
-            this.tokens -= total - before;
+            this.tokens -= Math.max(0, use.taken - before.taken);
+            this.totalDemand.add(Math.max(0, use.asked - before.asked));
         }
     }
 
+    private get rate(): number {
+        return this.size.rate * this.size.share;
+    }
+
     private get capacity(): number {
         return Math.max(1, this.size.burst * this.size.share * USED_BURST_SHARE);
     }
 
+    private get isScarce(): boolean {
+        return this.totalDemand.rate > SCARCE_SHARE * this.rate;
+    }
+
     private refill(): void {
         const now = this.opts.now();
-        const gained = (now - this.updatedAt) * this.size.rate * this.size.share / MS_PER_SECOND;
+        const gained = (now - this.updatedAt) * this.rate / MS_PER_SECOND;
         this.tokens = Math.min(this.capacity, this.tokens + gained);
         this.updatedAt = now;
+        const total = this.totalDemand.rate;
+        const part = total > 0 ? Math.max(this.ownDemand.rate / total, 0.5 / this.size.hosts) : 1 / this.size.hosts;
+        this.part.advance(now);
+        this.part.resize(this.rate * part, Math.max(1, this.capacity * part));
     }
 }
--- a/peering/src/peerLink.ts
+++ b/peering/src/peerLink.ts
@@ -10,6 +10,8 @@
     readonly socket: FrameSocket;
     readonly handlers: ReadonlyMap<string, PeerHandler>;
     readonly parts: ReadonlyMap<string, HeartbeatPart>;
+    /** Longest time between two heartbeats, in ms; 500 ms by default. */
+    readonly heartbeatIntervalMs?: () => number;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -19,7 +21,8 @@
     readonly at: number;
 }
 
-const HEARTBEAT_INTERVAL_MS = 500;
+const DEFAULT_HEARTBEAT_INTERVAL_MS = 500;
+const HEARTBEAT_CHECK_MS = 250;
 /** A link is closed when this many heartbeats went without an answer. */
 const MAX_UNANSWERED = 3;
 const MAX_RUNNING_REQUESTS = 64;
@@ -33,6 +36,7 @@
     private lastReceived = 0;
     private askedAt: number | undefined;
     private unanswered: SentHeartbeat[] = [];
+    private beatAt = -Infinity;
     private requestSequence = 0;
     private running = 0;
     private readonly pending = new Map<number, (answer: Result<PeerMessage, Failure>) => void>();
@@ -82,10 +86,14 @@
         const { parts, socket, now } = this.opts;
         const payload: Record<string, unknown> = {};
         for (const [name, part] of parts) {
-            payload[name] = part.payload();
+            const said = part.payload();
+            if (said !== undefined) {
+                payload[name] = said;
+            }
         }
         const sequence = ++this.sequence;
-        this.unanswered.push({ sequence, at: now() });
+        this.beatAt = now();
+        this.unanswered.push({ sequence, at: this.beatAt });
         socket.send(["heartbeat", sequence, this.lastReceived, payload]);
     }
 
@@ -99,13 +107,16 @@
     private async sendHeartbeats(): Promise<void> {
         const { signal } = this.closing;
         while (this.isOpen) {
-            this.beat();
-            await sleep(HEARTBEAT_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
+            const intervalMs = this.opts.heartbeatIntervalMs?.() ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
+            if (this.opts.now() - this.beatAt >= intervalMs - HEARTBEAT_CHECK_MS / 2) {
+                this.beat();
+            }
+            await sleep(HEARTBEAT_CHECK_MS, undefined, { signal }).catch(() => undefined);
             // After a pause of this process the answers are still unread; they are read before silence is judged.
             await new Promise(resolve => setImmediate(resolve));
             await new Promise(resolve => setImmediate(resolve));
             const oldest = this.unanswered[0];
-            if (oldest !== undefined && this.opts.now() - oldest.at > MAX_UNANSWERED * HEARTBEAT_INTERVAL_MS) {
+            if (oldest !== undefined && this.opts.now() - oldest.at > MAX_UNANSWERED * intervalMs) {
                 this.close();
             }
         }
--- a/peering/src/peerMesh.ts
+++ b/peering/src/peerMesh.ts
@@ -24,7 +24,10 @@
 
 /** Part of each heartbeat that belongs to one package. */
 export interface HeartbeatPart {
-    /** What the next heartbeat says; it must be small, as it is sent to every peer twice a second. */
+    /**
+     * What the next heartbeat says; it must be small, as it is sent to every peer twice a second. `undefined` leaves the
+     * part out.
+     */
     payload(): unknown;
     /**
      * Takes the payload of a peer, which the receiver checks against its schema.
@@ -47,7 +50,7 @@
     handle(type: string, handler: PeerHandler): void;
     /** Adds a part to all heartbeats; there is one of each name. */
     attach(name: string, part: HeartbeatPart): void;
-    /** Sends a heartbeat to all peers now instead of at the next interval of 500 ms. */
+    /** Sends a heartbeat to all peers now instead of at the next interval. */
     beat(): void;
     /** Registers a function that is called when a link to a peer opens or closes. */
     onPeersChange(listener: () => void): void;
--- a/peering/src/webSocketMesh.ts
+++ b/peering/src/webSocketMesh.ts
@@ -35,6 +35,9 @@
 /** The host with the higher id opens a link only if the other has not done so for this long. */
 const SECOND_OPENER_DELAY_MS = 1_000;
 const LINKED_CHECK_MS = 500;
+const MIN_HEARTBEAT_MS = 500;
+/** Keeps the heartbeats of a host to 40 a second, however many links it has. */
+const HEARTBEAT_MS_PER_LINK = 25;
 
 /** Links over WebSocket to all known hosts, one per pair. */
 export class WebSocketMesh implements PeerMesh {
@@ -163,7 +166,8 @@
             return false;
         }
         const { handlers, parts } = this;
-        const link = new PeerLink({ peer: proved.value, socket: frames, handlers, parts, now });
+        const heartbeatIntervalMs = () => Math.max(MIN_HEARTBEAT_MS, HEARTBEAT_MS_PER_LINK * this.links.size);
+        const link = new PeerLink({ peer: proved.value, socket: frames, handlers, parts, heartbeatIntervalMs, now });
         await this.serve(link);
         return true;
     }
