End within the stop timeout, and try elsewhere after 500 ms without an answer

Requests whose answer was lost without a reset were tried elsewhere only after 700 ms (request there).

--- a/cli/src/commands/gateway.ts
+++ b/cli/src/commands/gateway.ts
@@ -7,6 +7,9 @@
 import { requireFlag } from "../requireFlag.js";
 import { stopSignal } from "../stopSignal.js";
 
+/** Time for the last lines of output, in ms. */
+const EXIT_DELAY_MS = 100;
+
 export const gateway: Command = {
     name: "gateway",
     summary: "run a gateway host on the platform until SIGTERM or SIGINT",
@@ -39,6 +42,8 @@
         await stopped;
         const drained = await host.stop();
         await platform.close();
+        // A timer that is still pending must not keep the process past its stop timeout.
+        setTimeout(() => process.exit(), EXIT_DELAY_MS).unref();
         const summary = drained ? "stopped" : "stopped before all requests had finished";
         return ok({ text: summary, json: { drained } });
     },
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -41,7 +41,7 @@
 /** Share of the stop timeout in which callers are still served. */
 const LINGER_SHARE = 0.6;
 /** Time before the stop timeout at which the process ends by itself, in ms. */
-const STOP_MARGIN_MS = 400;
+const STOP_MARGIN_MS = 800;
 /** Callers that know of the stop have left after this time, in ms. */
 const MIN_LINGER_MS = 2_600;
 const STOP_POLL_MS = 20;
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -57,7 +57,7 @@
 
 /** An idempotent request is tried elsewhere once it has taken so many times the expected time. */
 const SLOW_FACTOR = 4;
-const MIN_ATTEMPT_MS = 700;
+const MIN_ATTEMPT_MS = 500;
 const FULL_MS = 60;
 const PROBE_TIMEOUT_MS = 500;
 const ERROR_STATUS = 500;
