--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -35,6 +35,7 @@
     private followedTo: number | undefined;
     private newest = 0;
     private failures = 0;
+    private isComplete = false;
 
     constructor(private readonly opts: FeedFollowerOptions<T>) {}
 
@@ -43,6 +44,11 @@
         return this.newest;
     }
 
+    /** Whether all objects have been read, from the store or from another host. */
+    get hasRead(): boolean {
+        return this.isComplete;
+    }
+
     get isLost(): boolean {
         return this.failures > 0;
     }
@@ -70,6 +76,7 @@
     merge({ entries, revision }: FeedPage<T>): void {
         this.apply(entries);
         this.newest = Math.max(this.newest, revision);
+        this.isComplete = true;
     }
 
     /** Returns the time to wait before the next call, in ms. */
@@ -81,6 +88,7 @@
         const { entries, revision } = page.value;
         this.apply(isFull ? [...entries, ...this.missingFrom(page.value)] : entries);
         this.followedTo = revision;
+        this.isComplete = true;
         return entries.length > 0 ? this.groupPauseMs : 0;
     }
 
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -122,7 +122,7 @@
         const placing = { registry, loads, warm, health, times, cold, now: monotonicNow };
         this.listener = new RequestListener({
             dialect,
-            desiredState: () => this.desiredState,
+            desiredState: () => this.stateInForce,
             limits: this.limits,
             relay: new RequestRelay({
                 ...placing,
@@ -225,7 +225,13 @@
     }
 
     private get state(): HostReport["state"] {
-        return this.isLeaving ? "leaving" : this.desiredState === undefined ? "starting" : "ready";
+        return this.isLeaving ? "leaving" : this.stateInForce === undefined ? "starting" : "ready";
+    }
+
+    /** `undefined` until targets and evacuations are known too, as the host would otherwise send where it must not. */
+    private get stateInForce(): DesiredState | undefined {
+        const { targets, evacuations } = this.followers;
+        return targets.hasRead && evacuations.hasRead ? this.desiredState : undefined;
     }
 
     private get hostIds(): readonly string[] {
--- /dev/null
+++ b/gateway/test/feedFollower.test.ts
@@ -0,0 +1,84 @@
+import { Logger } from "@pistachioreel/logging";
+import type { FeedEntry, FeedPage, ObjectFeed } from "@pistachioreel/platform-store";
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { FeedFollower } from "../src/feedFollower.js";
+
+type Answer = Result<FeedPage<string>, Failure>;
+
+function entry(name: string, revision: number, value?: string): FeedEntry<string> {
+    return { name, revision, value };
+}
+
+/** Follows a feed that gives these answers, one a call, and then none any more. */
+async function follow(answers: readonly Answer[], opts: { before?: (follower: FeedFollower<string>) => void; } = {}) {
+    const rest = [...answers];
+    const stop = new AbortController();
+    const next = (): Promise<Answer> => {
+        const answer = rest.shift();
+        if (answer === undefined) {
+            stop.abort();
+        }
+        return Promise.resolve(answer ?? err(new Failure("storeUnreachable")));
+    };
+    const feed: ObjectFeed<string> = { read: next, follow: next };
+    const values = new Map<string, string | undefined>();
+    const follower = new FeedFollower<string>({
+        name: "things",
+        feed,
+        onChange: changed => changed.forEach(({ name, value }) => values.set(name, value)),
+        hostCount: () => 1,
+        logger: new Logger("follower-test", { write: () => undefined }),
+        now: () => performance.now(),
+        signal: stop.signal,
+    });
+    opts.before?.(follower);
+    await follower.run();
+    return { follower, values };
+}
+
+describe("copy of the store's objects", () => {
+    it("guards against an older state coming back from a list or a peer that lags", async () => {
+        const { follower, values } = await follow([
+            ok({ entries: [entry("a", 10, "new")], revision: 10 }),
+            ok({ entries: [entry("a", 8, "old")], revision: 11 }),
+        ]);
+        follower.merge({ entries: [entry("a", 9, "older")], revision: 9 });
+        assert.equal(values.get("a"), "new");
+        assert.equal(follower.revision, 10);
+    });
+
+    it("guards against objects that were removed while the history was lost living on", async () => {
+        const { values } = await follow([
+            ok({ entries: [entry("a", 3, "a"), entry("b", 4, "b")], revision: 4 }),
+            err(new Failure("historyGone")),
+            ok({ entries: [entry("a", 3, "a")], revision: 9 }),
+        ]);
+        assert.deepEqual([...values], [["a", "a"], ["b", undefined]]);
+    });
+
+    it("guards against a host that serves before it knows all objects", async () => {
+        const { follower } = await follow([err(new Failure("storeUnreachable"))]);
+        assert.equal(follower.hasRead, false);
+        follower.merge({ entries: [], revision: 5 });
+        assert.equal(follower.hasRead, true);
+    });
+
+    it("guards against a list from before a peer's news removing what the peer told", async () => {
+        const { values } = await follow([ok({ entries: [], revision: 5 })], {
+            before: follower => follower.merge({ entries: [entry("a", 7, "a")], revision: 7 }),
+        });
+        assert.equal(values.get("a"), "a");
+    });
+
+    it("tells that the store is lost, and when it was regained", async () => {
+        const { follower } = await follow([
+            err(new Failure("storeUnreachable")),
+            ok({ entries: [], revision: 1 }),
+            ok({ entries: [], revision: 1 }),
+        ]);
+        assert.ok(follower.regainedAt > 0);
+    });
+});
--- a/limits/src/sharedBucket.ts
+++ b/limits/src/sharedBucket.ts
@@ -26,6 +26,8 @@
 const MS_PER_SECOND = 1_000;
 /** Left unused, as reports of other hosts arrive late. */
 const USED_BURST_SHARE = 0.8;
+/** A host that has just started does not know what the others gave just now. */
+const START_SHARE = 0.5;
 const DEMAND_DECAY_MS = 2_000;
 /** From this share of the rate on, hosts keep to their parts of the rate, as reports come too late to prevent an excess. */
 const SCARCE_SHARE = 0.9;
@@ -38,6 +40,7 @@
  */
 export class SharedBucket {
     private tokens = 0;
+    private isNew = true;
     private updatedAt: number;
     private size: BucketSize = { rate: 0, burst: 0, share: 1, hosts: 1 };
     private asked = 0;
@@ -74,7 +77,8 @@
     resize(size: BucketSize): void {
         this.refill();
         this.size = size;
-        this.tokens = Math.min(this.tokens, this.capacity);
+        this.tokens = this.isNew ? this.capacity * START_SHARE : Math.min(this.tokens, this.capacity);
+        this.isNew = false;
     }
 
     tryTake(): boolean {
