--- a/gateway/src/lineWriter.ts
+++ b/gateway/src/lineWriter.ts
@@ -3,7 +3,7 @@
 const STANDARD_OUTPUT = 1;
 /** Lines beyond this size are dropped while standard output takes nothing. */
 const MAX_WAITING_BYTES = 256 * 1024;
-const FLUSH_INTERVAL_MS = 50;
+const FLUSH_INTERVAL_MS = 250;
 
 /** Writes lines to standard output in the background; a reader that stops reading never blocks the process. */
 export class LineWriter {
--- a/peering/src/peerLink.ts
+++ b/peering/src/peerLink.ts
@@ -22,7 +22,8 @@
 }
 
 const DEFAULT_HEARTBEAT_INTERVAL_MS = 500;
-const HEARTBEAT_CHECK_MS = 250;
+/** Checked twice in an interval; a heartbeat that is due before the next check is sent now. */
+const DUE_SHARE = 0.75;
 /** A link is closed when this many heartbeats went without an answer. */
 const MAX_UNANSWERED = 3;
 const MAX_RUNNING_REQUESTS = 64;
@@ -108,10 +109,10 @@
         const { signal } = this.closing;
         while (this.isOpen) {
             const intervalMs = this.opts.heartbeatIntervalMs?.() ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
-            if (this.opts.now() - this.beatAt >= intervalMs - HEARTBEAT_CHECK_MS / 2) {
+            if (this.opts.now() - this.beatAt >= intervalMs * DUE_SHARE) {
                 this.beat();
             }
-            await sleep(HEARTBEAT_CHECK_MS, undefined, { signal }).catch(() => undefined);
+            await sleep(intervalMs / 2, undefined, { signal }).catch(() => undefined);
             // After a pause of this process the answers are still unread; they are read before silence is judged.
             await new Promise(resolve => setImmediate(resolve));
             await new Promise(resolve => setImmediate(resolve));
--- a/peering/src/webSocketMesh.ts
+++ b/peering/src/webSocketMesh.ts
@@ -34,7 +34,7 @@
 const MAX_BACKOFF_MS = 3_000;
 /** The host with the higher id opens a link only if the other has not done so for this long. */
 const SECOND_OPENER_DELAY_MS = 1_000;
-const LINKED_CHECK_MS = 500;
+const LINKED_CHECK_MS = 2_000;
 const MIN_HEARTBEAT_MS = 500;
 /** Keeps the heartbeats of a host to 40 a second, however many links it has. */
 const HEARTBEAT_MS_PER_LINK = 25;
