Do not take a caller that leaves during a connect for an unreachable target

Found from the logs; gateway/test/requestRelay.test.ts failed before. Ruled out: targets missing from the store (348 target-changed ready in the same second), evacuations (none).

--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -186,7 +186,10 @@
         }
         if (result.end === "unsent") {
             progress.sends--;
-            health.noteUnreachable(target);
+            // A caller that leaves says nothing about the target.
+            if (sent.stoppedBy === undefined || sent.stoppedBy === "slow") {
+                health.noteUnreachable(target);
+            }
             this.log("attempt-unsent", request, target, result.reason);
             return undefined;
         }
--- /dev/null
+++ b/gateway/test/requestRelay.test.ts
@@ -0,0 +1,82 @@
+import { CrashSuspects, RetryBudget } from "@pistachioreel/delivery";
+import { Logger } from "@pistachioreel/logging";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { routeContent } from "../../desired-state/test/stateContent.js";
+import { newHost, newTarget } from "../../placement/test/fixtures.js";
+import type { Dialect } from "../src/dialect.js";
+import type { RelayedRequest } from "../src/relayedRequest.js";
+import { RequestRelay } from "../src/requestRelay.js";
+import type { TargetLinks } from "../src/targetLinks.js";
+
+/** A relay whose targets never accept a connection. */
+function newRelay() {
+    const target = newTarget("t");
+    const now = () => performance.now();
+    const host = newHost({
+        clock: {
+            get now() {
+                return performance.now();
+            },
+        },
+        targets: [target],
+    });
+    const pool = {
+        exchange: (_request: unknown, signal: AbortSignal) =>
+            new Promise(resolve =>
+                signal.addEventListener("abort", () => resolve({ end: "unsent", reason: "cancelled" }))
+            ),
+        probe: () => Promise.resolve(true),
+        dropIdle: () => undefined,
+    };
+    const relay = new RequestRelay({
+        ...host,
+        dialect: { targetHeaders: () => [] } as unknown as Dialect,
+        links: { poolOf: () => pool } as unknown as TargetLinks,
+        suspects: new CrashSuspects({ hostId: "h1", observe: () => undefined, now }),
+        retryBudget: () => new RetryBudget({ now }),
+        logger: new Logger("relay-test", { write: () => undefined }),
+        now,
+    });
+    return { relay, target, health: host.health };
+}
+
+function newRequest(opts: Partial<RelayedRequest> = {}): RelayedRequest {
+    return {
+        id: "r1",
+        method: "GET",
+        url: "/x",
+        rawHeaders: [],
+        body: undefined,
+        route: routeContent(),
+        service: "svc",
+        workspace: undefined,
+        key: undefined,
+        object: undefined,
+        objectiveAt: performance.now() + 250,
+        deadlineAt: performance.now() + 2_000,
+        ...opts,
+    };
+}
+
+describe("relay of requests", () => {
+    it("guards against a caller that leaves during a connect making the target count as unreachable", async () => {
+        const { relay, target, health } = newRelay();
+        const caller = new AbortController();
+        setTimeout(() => caller.abort(), 20);
+        const result = await relay.run(newRequest(), caller.signal);
+        assert.ok("failure" in result);
+        assert.equal(health.isBlocked(target), false);
+        assert.equal(health.isUnproven(target), false);
+    });
+
+    it("answers that a request has not run if its deadline passes during a connect", async () => {
+        const { relay } = newRelay();
+        const request = newRequest({
+            route: { ...routeContent(), isIdempotent: false },
+            deadlineAt: performance.now() + 50,
+        });
+        const result = await relay.run(request, new AbortController().signal);
+        assert.ok("failure" in result && result.failure.isNotRun);
+    });
+});
