--- a/gateway/src/attemptLimit.ts
+++ b/gateway/src/attemptLimit.ts
@@ -4,6 +4,8 @@
     readonly deadlineMs: number;
     /** Time after which another target is likely to be faster, in ms. */
     readonly slowMs: number;
+    /** Asked at that time: whether another target will be tried. If not, the attempt goes on until the deadline. */
+    readonly mayMoveOn: () => boolean;
 }
 
 /** Ends an attempt when the caller leaves, when its time is up, or when another target is likely to be faster. */
@@ -11,13 +13,20 @@
     /** What ended the attempt; `undefined` if nothing has. */
     stoppedBy: "caller" | "deadline" | "slow" | undefined;
     private readonly controller = new AbortController();
-    private readonly timer: NodeJS.Timeout;
+    private timer: NodeJS.Timeout;
     private readonly onAbort = () => this.stop("caller");
 
     constructor(private readonly opts: AttemptLimitOptions) {
-        const { signal, deadlineMs, slowMs } = opts;
-        const reason = slowMs < deadlineMs ? "slow" : "deadline";
-        this.timer = setTimeout(() => this.stop(reason), Math.max(0, Math.min(deadlineMs, slowMs)));
+        const { signal, deadlineMs, slowMs, mayMoveOn } = opts;
+        const stopAtDeadline = (ms: number) => setTimeout(() => this.stop("deadline"), Math.max(0, ms));
+        this.timer = slowMs >= deadlineMs ? stopAtDeadline(deadlineMs) : setTimeout(() => {
+            if (mayMoveOn()) {
+                this.stop("slow");
+            }
+            else {
+                this.timer = stopAtDeadline(deadlineMs - slowMs);
+            }
+        }, slowMs);
         signal.addEventListener("abort", this.onAbort);
     }
 
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -136,6 +136,7 @@
                     now: monotonicNow,
                 }),
                 retryBudget: () => this.newRetryBudget(),
+                isLeaving: () => this.isLeaving,
                 logger,
             }),
             metrics,
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -4,6 +4,7 @@
 import type {
     ColdAdmission,
     Placement,
+    PlacementRequest,
     Target,
     TargetHealth,
     TargetLoads,
@@ -32,6 +33,8 @@
     readonly cold: ColdAdmission;
     readonly suspects: CrashSuspects;
     readonly retryBudget: () => RetryBudget;
+    /** Whether this host is about to stop; it then ends no attempt early. */
+    readonly isLeaving: () => boolean;
     readonly logger: Logger;
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -114,19 +117,9 @@
         progress: Progress,
         signal: AbortSignal,
     ): Promise<Sent | RelayResult> {
-        const { route, service, object, body, deadlineAt, objectiveAt, workspace, key } = request;
+        const { route, service, object, body, deadlineAt, workspace, key } = request;
         const { placement, loads, registry, health, cold, warm, times, links, dialect, now } = this.opts;
-        const choice = placement.choose({
-            service,
-            route: route.name,
-            object,
-            regions: commonRegions(route.regions, workspace?.regions ?? []),
-            excluded: progress.excluded,
-            bodyBytes: body?.length ?? 0,
-            objectiveMs: route.objectiveMs,
-            objectiveAt,
-            deadlineAt,
-        });
+        const choice = placement.choose(placementOf(request, progress));
         if ("refusal" in choice) {
             return this.fail(progress, new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue"), {
                 retryAfterMs: choice.retryAfterMs,
@@ -147,7 +140,8 @@
         const startedAt = now();
         const canRepeat = route.isIdempotent && progress.sends < route.maxAttempts;
         const slowMs = canRepeat ? Math.max(MIN_ATTEMPT_MS, SLOW_FACTOR * choice.expectedMs) : Infinity;
-        const limit = new AttemptLimit({ signal, deadlineMs: deadlineAt - startedAt, slowMs });
+        const mayMoveOn = () => this.mayMoveOn(request, progress);
+        const limit = new AttemptLimit({ signal, deadlineMs: deadlineAt - startedAt, slowMs, mayMoveOn });
         const headers = dialect.targetHeaders({
             rawHeaders: request.rawHeaders,
             deadlineMs: Math.max(1, Math.floor(deadlineAt - startedAt)),
@@ -205,9 +199,10 @@
                 // Connections that went silent show no other sign.
                 links.poolOf(target).dropIdle();
             }
-            return request.route.isIdempotent && this.mayRepeat(request, progress)
-                ? undefined
-                : this.fail(progress, new Failure("outcomeUnknown"));
+            // The budget of an attempt that was slow has been taken when it was ended.
+            const mayRepeat = sent.stoppedBy === "slow" ||
+                request.route.isIdempotent && this.mayRepeat(request, progress);
+            return mayRepeat ? undefined : this.fail(progress, new Failure("outcomeUnknown"));
         }
         if (verdict.meaning === "full" || verdict.meaning === "misdirected") {
             if (verdict.meaning === "full") {
@@ -229,6 +224,13 @@
         return { answer, sends: progress.sends, target: target.id };
     }
 
+    /** Whether a slow attempt may be ended: only if another target will take the request at once. */
+    private mayMoveOn(request: RelayedRequest, progress: Progress): boolean {
+        const { isLeaving, placement } = this.opts;
+        return !isLeaving() && "target" in placement.choose(placementOf(request, progress)) &&
+            this.mayRepeat(request, progress);
+    }
+
     private mayRepeat({ route, service, deadlineAt }: RelayedRequest, { sends }: Progress): boolean {
         return sends < route.maxAttempts && this.opts.now() < deadlineAt && this.budgetOf(service).tryTake();
     }
@@ -288,6 +290,21 @@
     }
 }
 
+function placementOf(request: RelayedRequest, { excluded }: Progress): PlacementRequest {
+    const { service, route, object, workspace, body, objectiveAt, deadlineAt } = request;
+    return {
+        service,
+        route: route.name,
+        object,
+        regions: commonRegions(route.regions, workspace?.regions ?? []),
+        excluded,
+        bodyBytes: body?.length ?? 0,
+        objectiveMs: route.objectiveMs,
+        objectiveAt,
+        deadlineAt,
+    };
+}
+
 /** Recognizes repeats of the same request by the same caller. */
 function digestOf({ method, url, body, workspace }: RelayedRequest): string {
     return createHash("sha256").update(`${workspace?.name ?? ""}\n${method}\n${url}\n`).update(body ?? "").digest(
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -9,23 +9,29 @@
 import { RequestRelay } from "../src/requestRelay.js";
 import type { TargetLinks } from "../src/targetLinks.js";
 
-/** A relay whose targets never accept a connection. */
-function newRelay() {
+/** Longer than the time after which a slow attempt is given up. */
+const DEADLINE_MS = 1_500;
+
+interface RelayOptions {
+    /** How an exchange ends that is aborted. */
+    readonly end?: "unsent" | "lost";
+    readonly hasBudget?: boolean;
+    readonly isLeaving?: boolean;
+}
+
+/** A relay whose two targets never answer. */
+function newRelay({ end = "unsent", hasBudget = true, isLeaving = false }: RelayOptions = {}) {
     const target = newTarget("t");
     const now = () => performance.now();
-    const host = newHost({
-        clock: {
-            get now() {
-                return performance.now();
-            },
+    const clock = {
+        get now() {
+            return performance.now();
         },
-        targets: [target],
-    });
+    };
+    const host = newHost({ clock, targets: [target, newTarget("u")] });
     const pool = {
         exchange: (_request: unknown, signal: AbortSignal) =>
-            new Promise(resolve =>
-                signal.addEventListener("abort", () => resolve({ end: "unsent", reason: "cancelled" }))
-            ),
+            new Promise(resolve => signal.addEventListener("abort", () => resolve({ end, reason: "cancelled" }))),
         probe: () => Promise.resolve(true),
         dropIdle: () => undefined,
     };
@@ -34,7 +40,8 @@
         dialect: { targetHeaders: () => [] } as unknown as Dialect,
         links: { poolOf: () => pool } as unknown as TargetLinks,
         suspects: new CrashSuspects({ hostId: "h1", observe: () => undefined, now }),
-        retryBudget: () => new RetryBudget({ now }),
+        retryBudget: () => new RetryBudget({ now, ...(hasBudget ? {} : { share: 0, minPerSecond: 0 }) }),
+        isLeaving: () => isLeaving,
         logger: new Logger("relay-test", { write: () => undefined }),
         now,
     });
@@ -79,4 +86,24 @@
         const result = await relay.run(request, new AbortController().signal);
         assert.ok("failure" in result && result.failure.isNotRun);
     });
+
+    for (const opts of [{ hasBudget: false }, { isLeaving: true }]) {
+        it(`guards against breaking off work when no other target may be tried: ${JSON.stringify(opts)}`, async () => {
+            const { relay } = newRelay({ end: "lost", ...opts });
+            const startedAt = performance.now();
+            const result = await relay.run(
+                newRequest({ deadlineAt: startedAt + DEADLINE_MS }),
+                new AbortController().signal,
+            );
+            assert.ok("failure" in result && result.failure.code === "deadlineExceeded");
+            assert.equal(result.sends, 1);
+            assert.ok(performance.now() - startedAt >= DEADLINE_MS - 5);
+        });
+    }
+
+    it("tries another target when the first is slow", async () => {
+        const { relay } = newRelay({ end: "lost" });
+        const request = newRequest({ deadlineAt: performance.now() + DEADLINE_MS });
+        assert.equal((await relay.run(request, new AbortController().signal)).sends, 2);
+    });
 });
