--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -60,6 +60,7 @@
         "it is not known whether the write took effect",
         "run the same command again",
     ),
+    storeDenied: code(2010, 403, "none", "the store does not allow the call", "check the store token and its rights"),
     historyGone: code(
         2011,
         410,
@@ -67,7 +68,6 @@
         "the store no longer knows what changed since a revision",
         "read the objects again",
     ),
-    storeDenied: code(2010, 403, "none", "the store does not allow the call", "check the store token and its rights"),
 
     // 3xxx: refusals of requests
     keyMissing: code(3001, 401, "not run", "the route needs a key", "send `Authorization: Bearer <key>`"),
