--- a/cli/src/commands/gateway.ts
+++ b/cli/src/commands/gateway.ts
@@ -1,11 +1,10 @@
-import { Gateway, parseGatewaySettings } from "@pistachioreel/gateway";
+import { Gateway, LineWriter, parseGatewaySettings } from "@pistachioreel/gateway";
+import { Logger } from "@pistachioreel/logging";
 import { Platform } from "@pistachioreel/platform";
-import { Failure } from "@pistachioreel/result-code";
-import { err, ok } from "neverthrow";
+import { err } from "neverthrow";
 import type { Command } from "../command.js";
-import { readTextFile } from "../readTextFile.js";
-import { requireFlag } from "../requireFlag.js";
-import { stopSignal } from "../stopSignal.js";
+import { readSettings } from "../readSettings.js";
+import { runHost } from "../runHost.js";
 
 /** Time for the last lines of output, in ms. */
 const EXIT_DELAY_MS = 100;
@@ -18,33 +17,20 @@
 
 Example: pistachioreel gateway --settings gateway.jsonc`,
     async run(input) {
-        const path = requireFlag(input, "settings");
-        if (path.isErr()) {
-            return err([path.error]);
-        }
-        const text = await readTextFile(path.value);
-        const settings = text.mapErr(failure => [failure])
-            .andThen(content => parseGatewaySettings(path.value, content));
+        const settings = await readSettings(input, parseGatewaySettings);
         if (settings.isErr()) {
             return err(settings.error);
         }
-        const platform = new Platform(settings.value);
-        const host = new Gateway(settings.value, platform);
+        const lines = new LineWriter();
+        const logger = new Logger(settings.value.hostId, { level: settings.value.logLevel, write: lines.write });
+        const platform = new Platform({ settings: settings.value, logger });
+        const host = new Gateway({ settings: settings.value, platform, logger });
         process.on("SIGHUP", () => host.reload());
-        const stopped = stopSignal();
-        try {
-            await host.start();
-        }
-        catch (cause) {
-            const reason = cause instanceof Error ? cause.message : String(cause);
-            return err([new Failure("argumentInvalid", `the host cannot start: ${reason}`, { cause })]);
-        }
-        await stopped;
-        const drained = await host.stop();
+        const result = await runHost(host);
         await platform.close();
+        await lines.flush();
         // A timer that is still pending must not keep the process past its stop timeout.
         setTimeout(() => process.exit(), EXIT_DELAY_MS).unref();
-        const summary = drained ? "stopped" : "stopped before all requests had finished";
-        return ok({ text: summary, json: { drained } });
+        return result;
     },
 };
--- /dev/null
+++ b/cli/src/runHost.ts
@@ -0,0 +1,32 @@
+import { Failure } from "@pistachioreel/result-code";
+import { err, ok, type Result } from "neverthrow";
+import type { CommandOutput } from "./command.js";
+
+interface Host {
+    /** Rejects if the host cannot start. */
+    start(): Promise<void>;
+    /** Tells whether all requests had finished. */
+    stop(): Promise<boolean>;
+}
+
+/** Runs a host until the first SIGTERM or SIGINT. */
+export async function runHost(host: Host): Promise<Result<CommandOutput, readonly Failure[]>> {
+    const stopped = stopSignal();
+    try {
+        await host.start();
+    }
+    catch (cause) {
+        const reason = cause instanceof Error ? cause.message : String(cause);
+        return err([new Failure("argumentInvalid", `the host cannot start: ${reason}`, { cause })]);
+    }
+    await stopped;
+    const drained = await host.stop();
+    return ok({ text: drained ? "stopped" : "stopped before all requests had finished", json: { drained } });
+}
+
+function stopSignal(): Promise<void> {
+    return new Promise(resolve => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
+}
--- a/config/src/index.ts
+++ b/config/src/index.ts
@@ -1,6 +1,7 @@
 export { Configuration } from "./configuration.js";
 export type { ConfigurationChange } from "./configurationChange.js";
 export { diffConfigurations } from "./diffConfigurations.js";
+export { durationSchema } from "./durationSchema.js";
 export type { Target } from "./inventory.js";
 export { parseBlockMap } from "./parseBlockMap.js";
 export { parseInventory } from "./parseInventory.js";
--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,10 +1,11 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
 import type { Membership } from "@pistachioreel/membership";
-import { Failure, resultCodes } from "@pistachioreel/result-code";
+import { Failure } from "@pistachioreel/result-code";
+import { lingerOnClose, malformedFailure, rejectMalformed } from "@pistachioreel/runtime";
 import type { Timeline } from "@pistachioreel/timeline";
 import { err, ok, type Result } from "neverthrow";
-import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMetrics } from "./entryMetrics.js";
@@ -66,7 +67,7 @@
         this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
             const failure = malformedFailure(error);
             this.opts.metrics.requests.inc({ workspace: "", code: failure.number });
-            rejectMalformed(socket, failure);
+            rejectMalformed(socket, failure, ["x-not-run: 1", `x-result-code: ${failure.number}`]);
         });
         this.server.on("connection", (socket: Duplex) => {
             this.connections++;
@@ -239,6 +240,7 @@
         // An unread body would be parsed as the next request of the connection.
         if (!request.complete) {
             response.setHeader("connection", "close");
+            lingerOnClose(request);
         }
         const retryAfter = failure.details["retryAfterSeconds"];
         refuse(response, failure, {
@@ -295,23 +297,3 @@
         return url;
     }
 }
-
-function malformedFailure(error: NodeJS.ErrnoException): Failure {
-    switch (error.code) {
-        case "HPE_HEADER_OVERFLOW":
-            return new Failure("headerTooLarge");
-        case "ERR_HTTP_REQUEST_TIMEOUT":
-            return new Failure("requestTimeout");
-        default:
-            return new Failure("requestMalformed");
-    }
-}
-
-function rejectMalformed(socket: Duplex, failure: Failure): void {
-    if (!socket.writable) {
-        return;
-    }
-    const { status } = resultCodes[failure.code];
-    const head = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\nx-not-run: 1`;
-    socket.end(`${head}\r\nx-result-code: ${failure.number}\r\n\r\n`);
-}
--- a/entry/src/entryHost.ts
+++ b/entry/src/entryHost.ts
@@ -4,6 +4,7 @@
 import { Membership, rankHosts, type RosterMember } from "@pistachioreel/membership";
 import { newIncarnation, WebSocketMesh } from "@pistachioreel/peering";
 import { HttpObjectStore, type ListedHost } from "@pistachioreel/platform-store";
+import { listen, monotonicNow } from "@pistachioreel/runtime";
 import { Timeline } from "@pistachioreel/timeline";
 import type { Server } from "node:http";
 import { createAdminListener } from "./adminListener.js";
@@ -17,7 +18,6 @@
 import { pollHostList } from "./hostListPoll.js";
 import { HostSteering } from "./hostSteering.js";
 import { LookupAnswer } from "./lookupAnswer.js";
-import { monotonicNow } from "./monotonicNow.js";
 import { Readiness } from "./readiness.js";
 import { RosterKeeper } from "./rosterKeeper.js";
 import { WorkspaceAdmission } from "./workspaceAdmission.js";
@@ -221,16 +221,6 @@
     }
 }
 
-function listen(server: Server, { address, port }: { address: string; port: number; }): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, address, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
-
 /** Whether the work ended in time. */
 async function withTimeout(work: Promise<void>, timeoutMs: number): Promise<boolean> {
     let timer: NodeJS.Timeout | undefined;
--- a/forwarding/src/connectionPool.ts
+++ b/forwarding/src/connectionPool.ts
@@ -29,13 +29,21 @@
 
     constructor(private readonly opts: ConnectionPoolOptions) {}
 
-    /** Runs one exchange on an idle connection, or on a new one. An abort closes the connection. */
-    async exchange(request: TargetRequest, signal: AbortSignal, isIdempotent: boolean): Promise<ExchangeResult> {
+    /**
+     * Runs one exchange on an idle connection, or on a new one. An abort closes the connection.
+     *
+     * @param makeRequest Called when there is a connection.
+     */
+    async exchange(
+        makeRequest: () => TargetRequest,
+        signal: AbortSignal,
+        isIdempotent: boolean,
+    ): Promise<ExchangeResult> {
         const connection = this.takeIdle(isIdempotent) ?? await this.open(signal);
         if (typeof connection === "string") {
             return { end: "unsent", reason: connection };
         }
-        const result = await connection.exchange(request, signal);
+        const result = await connection.exchange(makeRequest(), signal);
         if (connection.isOpen && !this.isClosed && this.idle.length < MAX_IDLE_CONNECTIONS) {
             this.idle.push(connection);
         }
--- a/forwarding/src/exchangeResult.ts
+++ b/forwarding/src/exchangeResult.ts
@@ -9,4 +9,5 @@
  */
 export type ExchangeResult =
     | { readonly end: "answered"; readonly answer: TargetAnswer; }
-    | { readonly end: "unsent" | "lost"; readonly reason: string; };
+    | { readonly end: "unsent"; readonly reason: string; }
+    | { readonly end: "lost"; readonly reason: string; };
--- a/forwarding/src/targetConnection.ts
+++ b/forwarding/src/targetConnection.ts
@@ -1,3 +1,4 @@
+import { parseEndpoint } from "@pistachioreel/runtime";
 import { connect, type Socket } from "node:net";
 import type { AnswerOwnership } from "./answerOwnership.js";
 import { encodeRequest } from "./encodeRequest.js";
@@ -47,9 +48,9 @@
     /** Opens a connection. Resolves to a reason if there is none within the connect timeout or the signal aborts. */
     static open(opts: TargetConnectionOptions, signal: AbortSignal): Promise<TargetConnection | string> {
         return new Promise(resolve => {
-            const [host = "", port = ""] = opts.address.split(":");
+            const { address: host, port } = parseEndpoint(opts.address);
             const { localAddress } = opts;
-            const socket = connect({ host, port: Number(port), noDelay: true, ...(localAddress && { localAddress }) });
+            const socket = connect({ host, port, noDelay: true, ...(localAddress && { localAddress }) });
             const finish = (reason?: string) => {
                 clearTimeout(timer);
                 signal.removeEventListener("abort", onAbort);
--- a/forwarding/test/targetConnection.test.ts
+++ b/forwarding/test/targetConnection.test.ts
@@ -63,7 +63,7 @@
     }
 
     function exchange(pool: ConnectionPool, id: string, signal = new AbortController().signal) {
-        return pool.exchange(request(id), signal, true);
+        return pool.exchange(() => request(id), signal, true);
     }
 
     it("uses a connection again after a whole answer", async () => {
@@ -173,7 +173,7 @@
         const { port: echoPort } = echo.address() as { port: number; };
         const pool = newPool(`127.0.0.1:${echoPort}`);
         const sent = request("body", { method: "POST", body: Buffer.from("payload") });
-        assert.equal((await pool.exchange(sent, new AbortController().signal, false)).end, "answered");
+        assert.equal((await pool.exchange(() => sent, new AbortController().signal, false)).end, "answered");
         assert.match(seen, /Content-Length: 7\r\n\r\npayload$/);
         pool.close();
         echo.close();
--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -17,6 +17,8 @@
     readonly signal: AbortSignal;
 }
 
+type PresentEntry<T> = FeedEntry<T> & { readonly value: T; };
+
 const WAIT_MS = 20_000;
 /** Changes often come in groups; a pause lets one call bring a group. Each host adds to it, as each makes the call. */
 const GROUP_PAUSE_MS_PER_HOST = 10;
@@ -27,8 +29,6 @@
 
 /** Keeps a copy of the objects of one kind, from the store and from what other hosts have read there. */
 export class FeedFollower<T> {
-    /** Monotonic time in ms of the newest failed call; -Infinity if none failed. */
-    lostAt = -Infinity;
     /** Monotonic time in ms at which the store answered again after failures. */
     regainedAt = -Infinity;
     private readonly entries = new Map<string, FeedEntry<T>>();
@@ -53,6 +53,11 @@
         return this.failures > 0;
     }
 
+    /** Objects that exist. */
+    get present(): readonly PresentEntry<T>[] {
+        return [...this.entries.values()].filter((entry): entry is PresentEntry<T> => entry.value !== undefined);
+    }
+
     /** All entries, also removed ones, for a host that knows less. */
     get page(): FeedPage<T> {
         return { entries: [...this.entries.values()], revision: this.newest };
@@ -101,8 +106,7 @@
             this.followedTo = undefined;
             return 0;
         }
-        const { name, logger, now } = this.opts;
-        this.lostAt = now();
+        const { name, logger } = this.opts;
         if (this.failures === 0) {
             logger.warn({ event: "store-lost", fields: { feed: name, reason: failure.message } });
         }
@@ -120,8 +124,7 @@
 
     private missingFrom({ entries, revision }: FeedPage<T>): FeedEntry<T>[] {
         const present = new Set(entries.map(({ name }) => name));
-        return [...this.entries.values()]
-            .filter(entry => entry.value !== undefined && entry.revision <= revision && !present.has(entry.name))
+        return this.present.filter(entry => entry.revision <= revision && !present.has(entry.name))
             .map(({ name }) => ({ name, revision, value: undefined }));
     }
 
--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -3,14 +3,14 @@
 import type { TargetLoads, WarmObjects } from "@pistachioreel/placement";
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
+import { type GatewayReport, gatewayReportSchema } from "./gatewayReport.js";
 import type { HostDirectory } from "./hostDirectory.js";
-import { type HostReport, hostReportSchema } from "./hostReport.js";
 import type { SharedFeed } from "./sharedFeed.js";
 import type { WorkspaceLimits } from "./workspaceLimits.js";
 
 interface FleetExchangeOptions {
     readonly mesh: PeerMesh;
-    readonly state: () => HostReport["state"];
+    readonly state: () => GatewayReport["state"];
     readonly callers: string;
     readonly loads: TargetLoads;
     readonly warm: WarmObjects;
@@ -27,6 +27,8 @@
 const MIN_INTERVAL_MS = 150;
 /** Each peer adds to the interval, so that a large fleet does not spend its time on reports. */
 const INTERVAL_PER_PEER_MS = 10;
+/** Keeps a message well below the size that a link accepts. */
+const MAX_PAIRS = 1_500;
 const FEED_TIMEOUT_MS = 1_000;
 /** Store and peers usually tell the same at the same time; a host asks a peer only for what the store did not bring. */
 const FEED_PATIENCE_MS = 250;
@@ -36,7 +38,7 @@
 /** Exchanges with the other hosts what they have running, admitted and read. */
 export class FleetExchange {
     /** What the next heartbeats say; `undefined` between reports. */
-    private report: HostReport | undefined;
+    private report: GatewayReport | undefined;
     private readonly asked = new Set<string>();
 
     constructor(private readonly opts: FleetExchangeOptions) {
@@ -69,10 +71,13 @@
 
     /** Tells a host that has just been linked which targets are warm for what. */
     greet(hostId: string): void {
-        this.opts.mesh.send(hostId, { type: WARM_TYPE, pairs: this.opts.warm.all() });
+        const pairs = this.opts.warm.all();
+        for (let start = 0; start < pairs.length; start += MAX_PAIRS) {
+            this.opts.mesh.send(hostId, { type: WARM_TYPE, pairs: pairs.slice(start, start + MAX_PAIRS) });
+        }
     }
 
-    private makeReport(): HostReport {
+    private makeReport(): GatewayReport {
         const { state, callers, loads, warm, limits, feeds } = this.opts;
         const revisions = [...feeds].map(([name, { revision }]) => [name, revision] as const);
         return {
@@ -86,7 +91,7 @@
     }
 
     private receive(from: PeerIdentity, payload: unknown): void {
-        const parsed = hostReportSchema.safeParse(payload);
+        const parsed = gatewayReportSchema.safeParse(payload);
         if (!parsed.success) {
             this.opts.logger.warn({ event: "peer-report-invalid", fields: { peer: from.hostId } });
             return;
--- a/gateway/src/hostReport.ts
+++ b/gateway/src/gatewayReport.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 
 /** Schema of what each host tells the others several times a second. */
-export const hostReportSchema = z.object({
+export const gatewayReportSchema = z.object({
     /** `ready`: takes callers. `leaving`: is about to stop. */
     state: z.enum(["starting", "ready", "leaving"]),
     callers: z.string(),
@@ -15,4 +15,4 @@
     warmed: z.array(z.tuple([z.string(), z.string()])),
 });
 
-export type HostReport = z.infer<typeof hostReportSchema>;
+export type GatewayReport = z.infer<typeof gatewayReportSchema>;
--- a/gateway/src/hostDirectory.ts
+++ b/gateway/src/hostDirectory.ts
@@ -1,5 +1,5 @@
 import type { PeerIdentity } from "@pistachioreel/peering";
-import type { HostReport } from "./hostReport.js";
+import type { GatewayReport } from "./gatewayReport.js";
 
 interface HostDirectoryOptions {
     readonly availabilityZone: string;
@@ -21,11 +21,14 @@
 
 /** Names the hosts that callers should use: ready ones with a working link, near ones first. */
 export class HostDirectory {
-    private readonly reports = new Map<string, HostReport>();
+    private readonly reports = new Map<string, GatewayReport>();
 
     constructor(private readonly opts: HostDirectoryOptions) {}
 
-    noteReport({ incarnation }: PeerIdentity, report: HostReport): void {
+    noteReport({ incarnation }: PeerIdentity, report: GatewayReport): void {
+        if (!this.reports.has(incarnation)) {
+            this.forgetEnded();
+        }
         this.reports.set(incarnation, report);
     }
 
@@ -39,6 +42,11 @@
         return shuffled(chosen).slice(0, MAX_HOSTS).map(({ callers }) => callers);
     }
 
+    private forgetEnded(): void {
+        const linked = new Set(this.opts.linkedPeers().map(({ incarnation }) => incarnation));
+        [...this.reports.keys()].filter(known => !linked.has(known)).forEach(known => this.reports.delete(known));
+    }
+
     private readyHosts(): ListedHost[] {
         const { linkedPeers, isReady, callers, availabilityZone, region } = this.opts;
         const peers = linkedPeers().flatMap(peer => {
--- a/gateway/src/index.ts
+++ b/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export type { CallerRequest } from "./callerRequest.js";
 export type { Dialect } from "./dialect.js";
 export { Gateway } from "./gateway.js";
+export { LineWriter } from "./lineWriter.js";
 export { parseGatewaySettings } from "./parseGatewaySettings.js";
 export type { PlatformAccess } from "./platformAccess.js";
 export type { GatewaySettings } from "./settings.js";
--- a/gateway/src/removalHold.ts
+++ b/gateway/src/removalHold.ts
@@ -7,6 +7,8 @@
     readonly storeRegainedAt: () => number | undefined;
     /** Time within which a target that has left must get no more requests, in ms. */
     readonly drainBoundMs: number;
+    /** Called when a target that was held is removed. */
+    readonly onRemoved: () => void;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -65,6 +67,7 @@
         const timer = setTimeout(() => {
             this.held.delete(name);
             this.opts.registry.remove(name);
+            this.opts.onRemoved();
         }, delayMs);
         this.held.set(name, timer);
     }
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -1,43 +1,21 @@
 import type { CrashSuspects, RetryBudget } from "@pistachioreel/delivery";
 import type { ExchangeResult, TargetAnswer } from "@pistachioreel/forwarding";
 import type { Logger } from "@pistachioreel/logging";
-import type {
-    ColdAdmission,
-    Placement,
-    PlacementRequest,
-    Target,
-    TargetHealth,
-    TargetLoads,
-    TargetRegistry,
-    WarmObjects,
-    WorkTimes,
-} from "@pistachioreel/placement";
+import type { Placement, PlacementRequest, Target } from "@pistachioreel/placement";
 import { Failure } from "@pistachioreel/result-code";
+import { ok } from "neverthrow";
 import { createHash } from "node:crypto";
-import type { AnswerVerdict } from "./answerVerdict.js";
-import { AttemptLimit } from "./attemptLimit.js";
-import type { Dialect } from "./dialect.js";
 import type { RelayedRequest } from "./relayedRequest.js";
 import type { RelayResult } from "./relayResult.js";
-import type { TargetLinks } from "./targetLinks.js";
+import { TargetAttempt, type TargetKnowledge } from "./targetAttempt.js";
 
-interface RequestRelayOptions {
-    readonly dialect: Dialect;
-    readonly links: TargetLinks;
+interface RequestRelayOptions extends TargetKnowledge {
     readonly placement: Placement;
-    readonly registry: TargetRegistry;
-    readonly loads: TargetLoads;
-    readonly warm: WarmObjects;
-    readonly health: TargetHealth;
-    readonly times: WorkTimes;
-    readonly cold: ColdAdmission;
     readonly suspects: CrashSuspects;
     readonly retryBudget: () => RetryBudget;
     /** Whether this host is about to stop; it then ends no attempt early. */
     readonly isLeaving: () => boolean;
     readonly logger: Logger;
-    /** Monotonic time in ms. */
-    readonly now: () => number;
 }
 
 /** State of one request while targets are tried. */
@@ -50,19 +28,12 @@
     failedAnswer: TargetAnswer | undefined;
 }
 
-interface Sent {
-    readonly target: Target;
-    readonly result: ExchangeResult;
-    readonly verdict: AnswerVerdict | undefined;
-    /** What ended the attempt before the target did. */
-    readonly stoppedBy: AttemptLimit["stoppedBy"];
-}
+type AttemptEnd = Awaited<ReturnType<TargetAttempt["run"]>>;
 
 /** An idempotent request is tried elsewhere once it has taken so many times the expected time. */
 const SLOW_FACTOR = 4;
 const MIN_ATTEMPT_MS = 500;
 const FULL_MS = 60;
-const PROBE_TIMEOUT_MS = 500;
 const ERROR_STATUS = 500;
 
 /** Sends requests to targets until one of them answers, and never twice if the request must run once. */
@@ -95,126 +66,129 @@
         progress: Progress,
         signal: AbortSignal,
     ): Promise<RelayResult | undefined> {
-        const { suspects } = this.opts;
-        const entry = suspects.isEmpty ? "free" : await suspects.enter(digestOf(request), request.deadlineAt);
-        if (typeof entry !== "string" && entry.isErr()) {
+        const { suspects, placement } = this.opts;
+        // The digest covers the body, so it is only made for requests that may be suspects.
+        const digest = suspects.isEmpty ? undefined : digestOf(request);
+        const entry = digest === undefined ? ok("free" as const) : await suspects.enter(digest, request.deadlineAt);
+        if (entry.isErr()) {
             return this.fail(progress, entry.error);
         }
-        const turn = typeof entry === "string" ? entry : entry.value;
-        const sent = await this.send(request, progress, signal);
-        const wasLost = "result" in sent && sent.result.end === "lost" && sent.stoppedBy === undefined;
-        if (wasLost && await this.isTargetGone(sent.target)) {
-            suspects.noteLoss(digestOf(request), sent.target.id, turn);
+        const choice = placement.choose(placementOf(request, progress));
+        if ("refusal" in choice) {
+            this.endTurn(digest, entry.value, false);
+            const failure = new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue");
+            return this.fail(progress, failure, { retryAfterMs: choice.retryAfterMs });
+        }
+        const attempt = new TargetAttempt(this.opts, request, choice);
+        const { id } = attempt.target;
+        progress.excluded.add(id);
+        progress.target = id;
+        progress.sends++;
+        const canRepeat = request.route.isIdempotent && progress.sends < request.route.maxAttempts;
+        const slowMs = canRepeat ? Math.max(MIN_ATTEMPT_MS, SLOW_FACTOR * choice.expectedMs) : Infinity;
+        const mayMoveOn = () => this.mayMoveOn(request, progress);
+        const end = await attempt.run({ signal, slowMs, mayMoveOn });
+        if (end.result.end === "lost" && end.stoppedBy === undefined && await attempt.isTargetGone()) {
+            suspects.noteLoss(digest ?? digestOf(request), id, entry.value);
         }
-        else if (turn === "turn") {
-            suspects.endTurn(digestOf(request), "result" in sent && sent.result.end === "answered");
+        else {
+            this.endTurn(digest, entry.value, end.result.end === "answered");
         }
-        return "result" in sent ? this.judge(request, progress, sent) : sent;
+        return this.judge(request, progress, attempt.target, end);
     }
 
-    private async send(
+    private endTurn(digest: string | undefined, entry: "free" | "turn", isHarmless: boolean): void {
+        if (digest !== undefined && entry === "turn") {
+            this.opts.suspects.endTurn(digest, isHarmless);
+        }
+    }
+
+    /** What follows from one attempt; `undefined` if another one is to be made. */
+    private judge(
         request: RelayedRequest,
         progress: Progress,
-        signal: AbortSignal,
-    ): Promise<Sent | RelayResult> {
-        const { route, service, object, body, deadlineAt, workspace, key } = request;
-        const { placement, loads, registry, health, cold, warm, times, links, dialect, now } = this.opts;
-        const choice = placement.choose(placementOf(request, progress));
-        if ("refusal" in choice) {
-            return this.fail(progress, new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue"), {
-                retryAfterMs: choice.retryAfterMs,
-            });
-        }
-        const { target, isWarm, baseMs } = choice;
-        const hadFreeSlot = loads.loadOf(target.id) < target.slots;
-        const endCount = loads.start(target.id);
-        if (registry.isCold(target) || health.isUnproven(target)) {
-            cold.note(target);
+        target: Target,
+        end: AttemptEnd,
+    ): RelayResult | undefined {
+        const { result, verdict } = end;
+        if (result.end === "unsent") {
+            return this.judgeUnsent(request, progress, target, result.reason, end.stoppedBy);
         }
-        if (object !== undefined) {
-            warm.note(target, object);
+        if (result.end === "lost") {
+            return this.judgeLost(request, progress, target, end.stoppedBy ?? result.reason, end.stoppedBy);
         }
-        progress.excluded.add(target.id);
-        progress.target = target.id;
-        progress.sends++;
-        const startedAt = now();
-        const canRepeat = route.isIdempotent && progress.sends < route.maxAttempts;
-        const slowMs = canRepeat ? Math.max(MIN_ATTEMPT_MS, SLOW_FACTOR * choice.expectedMs) : Infinity;
-        const mayMoveOn = () => this.mayMoveOn(request, progress);
-        const limit = new AttemptLimit({ signal, deadlineMs: deadlineAt - startedAt, slowMs, mayMoveOn });
-        const headers = dialect.targetHeaders({
-            rawHeaders: request.rawHeaders,
-            deadlineMs: Math.max(1, Math.floor(deadlineAt - startedAt)),
-            target,
-            workspace: workspace?.name,
-            key,
-        });
-        const { id, method, url: path } = request;
-        const outgoing = { id, method, path, headers, body };
-        const exchanged = await links.poolOf(target).exchange(outgoing, limit.signal, route.isIdempotent);
-        const result = await this.checkEnd(target, exchanged);
-        limit.end();
-        const verdict = result.end === "answered" ? dialect.verdictOf(result.answer) : undefined;
-        if (verdict?.load !== undefined) {
-            loads.report(target.id, verdict.load);
+        switch (verdict?.meaning) {
+            case "full":
+            case "misdirected":
+                return this.judgeNotRun(request, progress, target, verdict.meaning);
+            case "result":
+                return this.judgeAnswer(request, progress, target, result);
+            default:
+                return this.judgeLost(request, progress, target, "unusable answer", undefined);
         }
-        endCount();
-        const tookMs = now() - startedAt;
-        if (verdict?.meaning === "result" && result.end === "answered") {
-            const isError = result.answer.status >= ERROR_STATUS;
-            const workMs = hadFreeSlot ? tookMs : undefined;
-            health.noteAnswer(target, isError, workMs === undefined ? undefined : workMs / baseMs);
-            if (!isError && workMs !== undefined) {
-                times.record({ service, route: route.name, isWarm, objectiveMs: route.objectiveMs }, workMs);
-            }
+    }
+
+    private judgeUnsent(
+        request: RelayedRequest,
+        progress: Progress,
+        target: Target,
+        reason: string,
+        stoppedBy: AttemptEnd["stoppedBy"],
+    ): undefined {
+        progress.sends--;
+        // A caller that leaves says nothing about the target.
+        if (stoppedBy === undefined || stoppedBy === "slow") {
+            this.opts.health.noteUnreachable(target);
         }
-        return { target, result, verdict, stoppedBy: limit.stoppedBy };
+        this.log("attempt-unsent", request, target, reason);
+        return undefined;
     }
 
-    /** What follows from one attempt; `undefined` if another one is to be made. */
-    private judge(request: RelayedRequest, progress: Progress, sent: Sent): RelayResult | undefined {
-        const { target, result, verdict } = sent;
-        const { health, loads, registry, links } = this.opts;
-        if (verdict?.coldMs !== undefined && verdict.coldMs > 0) {
-            registry.noteCold(target, verdict.coldMs);
+    private judgeLost(
+        request: RelayedRequest,
+        progress: Progress,
+        target: Target,
+        reason: string,
+        stoppedBy: AttemptEnd["stoppedBy"],
+    ): RelayResult | undefined {
+        progress.mayHaveRun = true;
+        this.log("attempt-lost", request, target, reason);
+        if (stoppedBy === "caller" || stoppedBy === "deadline") {
+            return this.fail(progress, new Failure("deadlineExceeded"));
         }
-        if (result.end === "unsent") {
-            progress.sends--;
-            // A caller that leaves says nothing about the target.
-            if (sent.stoppedBy === undefined || sent.stoppedBy === "slow") {
-                health.noteUnreachable(target);
-            }
-            this.log("attempt-unsent", request, target, result.reason);
+        this.opts.health.noteLoss(target);
+        if (stoppedBy === "slow") {
+            // Connections that went silent show no other sign. The budget was taken when the attempt was ended.
+            this.opts.links.poolOf(target).dropIdle();
             return undefined;
         }
-        if (result.end === "lost" || verdict === undefined || verdict.meaning === "unusable") {
-            progress.mayHaveRun = true;
-            const reason = sent.stoppedBy ?? (result.end === "lost" ? result.reason : "unusable answer");
-            this.log("attempt-lost", request, target, reason);
-            if (sent.stoppedBy === "caller" || sent.stoppedBy === "deadline") {
-                return this.fail(progress, new Failure("deadlineExceeded"));
-            }
-            health.noteLoss(target);
-            if (sent.stoppedBy === "slow") {
-                // Connections that went silent show no other sign.
-                links.poolOf(target).dropIdle();
-            }
-            // The budget of an attempt that was slow has been taken when it was ended.
-            const mayRepeat = sent.stoppedBy === "slow" ||
-                request.route.isIdempotent && this.mayRepeat(request, progress);
-            return mayRepeat ? undefined : this.fail(progress, new Failure("outcomeUnknown"));
+        return request.route.isIdempotent && this.mayRepeat(request, progress)
+            ? undefined
+            : this.fail(progress, new Failure("outcomeUnknown"));
+    }
+
+    private judgeNotRun(
+        request: RelayedRequest,
+        progress: Progress,
+        target: Target,
+        meaning: "full" | "misdirected",
+    ): RelayResult | undefined {
+        if (meaning === "full") {
+            this.opts.loads.noteFull(target.id, FULL_MS);
         }
-        if (verdict.meaning === "full" || verdict.meaning === "misdirected") {
-            if (verdict.meaning === "full") {
-                loads.noteFull(target.id, FULL_MS);
-            }
-            else {
-                health.noteUnreachable(target);
-            }
-            this.log("attempt-refused", request, target, verdict.meaning);
-            return this.mayRepeat(request, progress) ? undefined : this.fail(progress, new Failure("targetRefused"));
+        else {
+            this.opts.health.noteUnreachable(target);
         }
-        const { answer } = sent.result as Extract<ExchangeResult, { end: "answered"; }>;
+        this.log("attempt-refused", request, target, meaning);
+        return this.mayRepeat(request, progress) ? undefined : this.fail(progress, new Failure("targetRefused"));
+    }
+
+    private judgeAnswer(
+        request: RelayedRequest,
+        progress: Progress,
+        target: Target,
+        { answer }: Extract<ExchangeResult, { end: "answered"; }>,
+    ): RelayResult | undefined {
         if (answer.status >= ERROR_STATUS && request.route.isIdempotent && this.mayRepeat(request, progress)) {
             progress.mayHaveRun = true;
             progress.failedAnswer = answer;
@@ -252,30 +226,11 @@
         if (failedAnswer !== undefined) {
             return { answer: failedAnswer, sends, target };
         }
-        const told = mayHaveRun && failure.isNotRun
-            ? new Failure("outcomeUnknown", undefined, { cause: failure })
-            : failure;
+        const isDoubtful = mayHaveRun && failure.isNotRun;
+        const told = isDoubtful ? new Failure("outcomeUnknown", undefined, { cause: failure }) : failure;
         return { failure: told, retryAfterMs, sends, target };
     }
 
-    /** A connection that ends also ends an answer without a length, and a crash ends a connection as well. */
-    private async checkEnd(target: Target, result: ExchangeResult): Promise<ExchangeResult> {
-        const isDoubtful = result.end === "answered" && !result.answer.isFramed;
-        return isDoubtful && await this.isTargetGone(target)
-            ? { end: "lost", reason: "the target ended with its answer" }
-            : result;
-    }
-
-    /** Whether a target is gone that lost a connection; one that accepts another connection lost only that one. */
-    private async isTargetGone(target: Target): Promise<boolean> {
-        const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
-        const isReachable = await this.opts.links.poolOf(target).probe(signal);
-        if (!isReachable) {
-            this.opts.health.noteUnreachable(target);
-        }
-        return !isReachable;
-    }
-
     private budgetOf(service: string): RetryBudget {
         let budget = this.budgets.get(service);
         if (budget === undefined) {
--- a/gateway/src/serviceListener.ts
+++ b/gateway/src/serviceListener.ts
@@ -1,45 +1,63 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Dialect } from "./dialect.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { HostDirectory } from "./hostDirectory.js";
 
 interface ServiceListenerOptions {
     readonly dialect: Dialect;
     readonly metrics: GatewayMetrics;
+    readonly directory: HostDirectory;
     readonly isReady: () => boolean;
-    readonly hostsFor: (region: string | undefined, availabilityZone: string | undefined) => readonly string[];
     readonly lookupLifetimeMs: number;
 }
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
-/** Servers for readiness checks, look-ups and metrics, in this order. */
-export function createServiceListener(opts: ServiceListenerOptions): { readonly servers: readonly Server[]; } {
-    const { dialect, metrics, isReady, hostsFor, lookupLifetimeMs } = opts;
-    const checkReadiness: Handler = (request, response) => {
-        const status = !dialect.isReadinessCheck(request) ? 404 : isReady() ? 200 : 503;
-        send(response, status, "text/plain", "");
-    };
-    const lookUp: Handler = (request, response) => {
+/** Servers for readiness checks, look-ups and metrics. */
+export class ServiceListener {
+    readonly readiness = createGuardedServer((request, response) => this.checkReadiness(request, response));
+    readonly directory = createGuardedServer((request, response) => this.lookUp(request, response));
+    readonly metrics = createGuardedServer((_request, response) => this.showMetrics(response));
+
+    constructor(private readonly opts: ServiceListenerOptions) {}
+
+    close(): void {
+        [this.readiness, this.directory, this.metrics].forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    }
+
+    private checkReadiness(request: IncomingMessage, response: ServerResponse): void {
+        const { dialect, isReady } = this.opts;
+        send(response, !dialect.isReadinessCheck(request) ? 404 : isReady() ? 200 : 503, "text/plain", "");
+    }
+
+    private lookUp(request: IncomingMessage, response: ServerResponse): void {
+        const { dialect, directory, lookupLifetimeMs: lifetimeMs } = this.opts;
         const query = dialect.readDirectoryQuery(request);
-        const addresses = query === undefined ? [] : hostsFor(query.region, query.availabilityZone);
-        if (addresses.length === 0) {
-            send(response, query === undefined ? 404 : 503, "application/json", "{}");
+        if (query === undefined) {
+            send(response, 404, "application/json", "{}");
             return;
         }
-        const body = dialect.directoryAnswer({ addresses, lifetimeMs: lookupLifetimeMs });
-        send(response, 200, "application/json", body);
-    };
-    const showMetrics: Handler = async (_request, response) => {
-        send(response, 200, metrics.registry.contentType, await metrics.registry.metrics());
-    };
-    return { servers: [checkReadiness, lookUp, showMetrics].map(handler => createServer(guard(handler))) };
+        const addresses = directory.hostsFor(query.region, query.availabilityZone);
+        const isKnown = addresses.length > 0;
+        const body = isKnown ? dialect.directoryAnswer({ addresses, lifetimeMs }) : "{}";
+        send(response, isKnown ? 200 : 503, "application/json", body);
+    }
+
+    private async showMetrics(response: ServerResponse): Promise<void> {
+        const { registry } = this.opts.metrics;
+        send(response, 200, registry.contentType, await registry.metrics());
+    }
 }
 
-function guard(handler: Handler): (request: IncomingMessage, response: ServerResponse) => void {
-    return (request, response) => {
+function createGuardedServer(handler: Handler): Server {
+    return createServer((request, response) => {
         request.resume();
-        Promise.resolve(handler(request, response)).catch((cause: Error) => response.destroy(cause));
-    };
+        const serve = async () => handler(request, response);
+        serve().catch((cause: Error) => response.destroy(cause));
+    });
 }
 
 function send(response: ServerResponse, status: number, type: string, body: string): void {
--- a/gateway/src/settings.ts
+++ b/gateway/src/settings.ts
@@ -1,13 +1,8 @@
+import { durationSchema } from "@pistachioreel/config";
 import { z } from "zod";
 
-const MS_PER_SECOND = 1_000;
-
-/** A time: a number of ms, or a number with its unit, `ms` or `s`. */
-const duration = z.union([
-    z.number().nonnegative(),
-    z.string().regex(/^\d+(\.\d+)?(ms|s)$/, "a number with ms or s")
-        .transform(text => Number.parseFloat(text) * (text.endsWith("ms") ? 1 : MS_PER_SECOND)),
-]);
+/** A time: a number of ms, or a number with its unit. */
+const duration = z.union([z.number().nonnegative(), durationSchema]);
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, "an IPv4 address and a port");
 
 /** Schema of the settings of one gateway host. */
--- a/gateway/src/targetLinks.ts
+++ b/gateway/src/targetLinks.ts
@@ -1,5 +1,5 @@
 import { ConnectionPool } from "@pistachioreel/forwarding";
-import type { Target } from "@pistachioreel/placement";
+import { type Target, targetKey } from "@pistachioreel/placement";
 import type { Dialect } from "./dialect.js";
 
 interface TargetLinksOptions {
@@ -17,7 +17,7 @@
     constructor(private readonly opts: TargetLinksOptions) {}
 
     poolOf(target: Target): ConnectionPool {
-        const key = keyOf(target);
+        const key = poolKey(target);
         let pool = this.pools.get(key);
         if (pool === undefined) {
             const { localAddress, dialect: ownership, now, onOpened } = this.opts;
@@ -29,7 +29,7 @@
 
     /** Closes connections to targets that are gone once their requests have ended. */
     retain(targets: readonly Target[]): void {
-        const keys = new Set(targets.map(keyOf));
+        const keys = new Set(targets.map(poolKey));
         for (const [key, pool] of this.pools) {
             if (!keys.has(key)) {
                 this.pools.delete(key);
@@ -39,6 +39,7 @@
     }
 }
 
-function keyOf({ id, incarnation, address }: Target): string {
-    return `${id}/${incarnation}/${address}`;
+/** A target that has moved to another address needs other connections. */
+function poolKey(target: Target): string {
+    return `${targetKey(target)}/${target.address}`;
 }
--- a/gateway/test/removalHold.test.ts
+++ b/gateway/test/removalHold.test.ts
@@ -1,28 +1,15 @@
-import { type Target, TargetRegistry } from "@pistachioreel/placement";
+import { TargetRegistry } from "@pistachioreel/placement";
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
+import { newTarget } from "../../placement/test/fixtures.js";
 import { RemovalHold } from "../src/removalHold.js";
 
 const DRAIN_BOUND_MS = 2_500;
 
-function newTarget(id: string, opts: Partial<Target> = {}): Target {
-    return {
-        id,
-        incarnation: 1,
-        address: "127.0.0.1:1",
-        service: "svc",
-        availabilityZone: "n-a",
-        region: "north",
-        slots: 4,
-        isDraining: false,
-        coldMs: 0,
-        ...opts,
-    };
-}
-
 describe("removals of targets", () => {
     const ids = ["a", "b", "c", "d"];
     let now: number;
+    let removals: number;
     let storeRegainedAt: number | undefined;
     let registry: TargetRegistry;
     let hold: RemovalHold;
@@ -30,6 +17,7 @@
     beforeEach(() => {
         mock.timers.enable({ apis: ["setTimeout"] });
         now = 100_000;
+        removals = 0;
         storeRegainedAt = -Infinity;
         registry = new TargetRegistry({ now: () => now });
         ids.forEach(id => registry.put(newTarget(id)));
@@ -37,6 +25,7 @@
             registry,
             storeRegainedAt: () => storeRegainedAt,
             drainBoundMs: DRAIN_BOUND_MS,
+            onRemoved: () => removals++,
             now: () => now,
         });
     });
@@ -53,7 +42,7 @@
 
     it("guards against a target that has left being used on", () => {
         remove("a");
-        assert.deepEqual(registry.ids(), ["b", "c", "d"]);
+        assert.deepEqual(idsOf(registry), ["b", "c", "d"]);
     });
 
     it("guards against losing all targets whose entries lapsed while the store was away", () => {
@@ -63,20 +52,25 @@
         pass(1_000);
         hold.apply([{ name: "a", revision: 12, value: newTarget("a") }]);
         pass(1_500);
-        assert.deepEqual(registry.ids(), ["a"], "those that have not come back are gone");
+        assert.deepEqual(idsOf(registry), ["a"], "those that have not come back are gone");
+        assert.equal(removals, 3, "what belongs to them can be forgotten");
     });
 
     it("guards against holding a target past the drain bound, whatever the store does", () => {
         storeRegainedAt = undefined;
         remove("a");
         pass(DRAIN_BOUND_MS - 600);
-        assert.deepEqual(registry.ids(), ["b", "c", "d"]);
+        assert.deepEqual(idsOf(registry), ["b", "c", "d"]);
     });
 
     it("guards against a store that was regained long ago delaying a removal", () => {
         storeRegainedAt = now - 2_100;
         remove("a");
         pass(150);
-        assert.deepEqual(registry.ids(), ["b", "c", "d"]);
+        assert.deepEqual(idsOf(registry), ["b", "c", "d"]);
     });
 });
+
+function idsOf(registry: TargetRegistry): string[] {
+    return registry.all.map(({ id }) => id);
+}
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -28,7 +28,8 @@
             return performance.now();
         },
     };
-    const host = newHost({ clock, targets: [target, newTarget("u")] });
+    const targets = [target, newTarget("u")];
+    const host = newHost({ clock, targets });
     const pool = {
         exchange: (_request: unknown, signal: AbortSignal) =>
             new Promise(resolve => signal.addEventListener("abort", () => resolve({ end, reason: "cancelled" }))),
@@ -45,7 +46,7 @@
         logger: new Logger("relay-test", { write: () => undefined }),
         now,
     });
-    return { relay, target, health: host.health };
+    return { relay, target, targets, health: host.health };
 }
 
 function newRequest(opts: Partial<RelayedRequest> = {}): RelayedRequest {
@@ -101,6 +102,12 @@
         });
     }
 
+    it("guards against a target that never answers in time being taken for an ordinary one", async () => {
+        const { relay, health, targets } = newRelay({ end: "lost", hasBudget: false });
+        await relay.run(newRequest({ deadlineAt: performance.now() + DEADLINE_MS }), new AbortController().signal);
+        assert.ok(targets.some(target => health.slowness(target) > 1));
+    });
+
     it("tries another target when the first is slow", async () => {
         const { relay } = newRelay({ end: "lost" });
         const request = newRequest({ deadlineAt: performance.now() + DEADLINE_MS });
--- a/placement/src/coldAdmission.ts
+++ b/placement/src/coldAdmission.ts
@@ -1,9 +1,9 @@
-import { createHash } from "node:crypto";
+import { rankHosts } from "@pistachioreel/membership";
 import type { Target } from "./target.js";
 
 interface ColdAdmissionOptions {
     readonly hostId: string;
-    /** All hosts that may send requests, this one included. */
+    /** All hosts that may send requests, this one included; another list is another array. */
     readonly hostIds: () => readonly string[];
     /** Requests that a cold target of the service may get in one second, from all hosts together. */
     readonly limitOf: (service: string) => number;
@@ -23,6 +23,8 @@
  */
 export class ColdAdmission {
     private readonly nextAt = new Map<string, number>();
+    private readonly ranks = new Map<string, number>();
+    private rankedHosts: readonly string[] = [];
 
     constructor(private readonly opts: ColdAdmissionOptions) {}
 
@@ -31,18 +33,28 @@
         return (this.nextAt.get(target.id) ?? 0) <= this.opts.now() && this.isChosen(target);
     }
 
+    /** Takes note of a request that is sent to the cold target. */
     note(target: Target): void {
         this.nextAt.set(target.id, this.opts.now() + INTERVAL_MS);
     }
 
     private isChosen({ id, service }: Target): boolean {
         const count = Math.floor(this.opts.limitOf(service) * USED_SHARE / REQUESTS_PER_HOST);
+        return this.rankFor(id) < count;
+    }
+
+    /** Position of this host among the hosts that may use the target. */
+    private rankFor(targetId: string): number {
         const hosts = this.opts.hostIds();
-        if (hosts.length <= count) {
-            return true;
+        if (hosts !== this.rankedHosts) {
+            this.rankedHosts = hosts;
+            this.ranks.clear();
+        }
+        let rank = this.ranks.get(targetId);
+        if (rank === undefined) {
+            rank = rankHosts(targetId, hosts).indexOf(this.opts.hostId);
+            this.ranks.set(targetId, rank);
         }
-        const rank = (host: string) => createHash("md5").update(`${host}\n${id}`).digest("hex");
-        const own = rank(this.opts.hostId);
-        return hosts.filter(host => rank(host) > own).length < count;
+        return rank;
     }
 }
--- a/placement/src/placement.ts
+++ b/placement/src/placement.ts
@@ -72,8 +72,9 @@
 
     choose(request: PlacementRequest): PlacementChoice {
         const allowed = this.allowedTargets(request);
+        const estimate = this.opts.times.estimate(request);
         const candidates = allowed.filter(target => this.isAvailable(target, request))
-            .map((target): Candidate => this.assess(target, request));
+            .map(target => this.assess(target, request, estimate));
         if (candidates.length === 0) {
             return { refusal: "noTarget", retryAfterMs: RETRY_AFTER_MS * (1 + this.random()) };
         }
@@ -144,15 +145,18 @@
         return !(registry.isCold(target) || health.isUnproven(target)) || cold.mayUse(target);
     }
 
-    private assess(target: Target, { service, route, object, objectiveMs }: PlacementRequest): Candidate {
-        const { registry, loads, warm, health, times } = this.opts;
+    private assess(
+        target: Target,
+        { object, objectiveMs }: PlacementRequest,
+        { warm: warmTime, cold: coldTime, meanMs }: ReturnType<WorkTimes["estimate"]>,
+    ): Candidate {
+        const { registry, loads, warm, health } = this.opts;
         const isWarm = object !== undefined && warm.isWarm(target, object);
+        const { expectedMs: baseMs, measuredMs } = isWarm ? warmTime : coldTime;
         const slowness = health.slowness(target) * (registry.isCold(target) ? COLD_TARGET_FACTOR : 1);
-        const baseMs = times.expect({ service, route, isWarm, objectiveMs });
         const load = loads.isFull(target.id) ? FULL_LOAD_SHARE * target.slots : loads.loadOf(target.id);
         const ahead = Math.max(0, load + 1 - target.slots);
-        const waitMs = ahead / target.slots * times.meanOf(service, objectiveMs) * slowness;
-        const measuredMs = times.measured({ service, route, isWarm, objectiveMs });
+        const waitMs = ahead / target.slots * meanMs * slowness;
         const leastMs = waitMs + measuredMs * QUICK_SHARE;
         const expectedMs = this.roundTripMs(target) + waitMs + baseMs * slowness;
         const cost = expectedMs + health.errorShare(target) * 2 * objectiveMs;
--- a/placement/src/target.ts
+++ b/placement/src/target.ts
@@ -1,15 +1,19 @@
-/** A server that answers requests of one service, as it has registered itself. */
-export interface Target {
-    readonly id: string;
+import { z } from "zod";
+
+/** Schema of a server that answers requests of one service, as it has registered itself. */
+export const targetSchema = z.object({
+    id: z.string().min(1),
     /** Wall-clock time in ms of the target's start; another start under the same id is another incarnation. */
-    readonly incarnation: number;
+    incarnation: z.number().int(),
     /** `address:port` */
-    readonly address: string;
-    readonly service: string;
-    readonly availabilityZone: string;
-    readonly region: string;
-    readonly slots: number;
-    readonly isDraining: boolean;
+    address: z.string().min(1),
+    service: z.string().min(1),
+    availabilityZone: z.string().min(1),
+    region: z.string().min(1),
+    slots: z.number().int().positive(),
+    isDraining: z.boolean(),
     /** How much longer the target stays cold, in ms, as it reported. */
-    readonly coldMs: number;
-}
+    coldMs: z.number().nonnegative(),
+});
+
+export type Target = z.infer<typeof targetSchema>;
--- a/placement/src/targetHealth.ts
+++ b/placement/src/targetHealth.ts
@@ -1,4 +1,5 @@
 import type { Target } from "./target.js";
+import { targetKey } from "./targetKey.js";
 
 interface TargetHealthOptions {
     /** Monotonic time in ms. */
@@ -29,22 +30,22 @@
     constructor(private readonly opts: TargetHealthOptions) {}
 
     isBlocked(target: Target): boolean {
-        return (this.health.get(keyOf(target))?.blockedUntil ?? 0) > this.opts.now();
+        return (this.health.get(targetKey(target))?.blockedUntil ?? 0) > this.opts.now();
     }
 
     /** Whether the target may have restarted without this host knowing. */
     isUnproven(target: Target): boolean {
-        return (this.health.get(keyOf(target))?.unprovenUntil ?? 0) > this.opts.now();
+        return (this.health.get(targetKey(target))?.unprovenUntil ?? 0) > this.opts.now();
     }
 
     /** Share of answers that were errors, lately. */
     errorShare(target: Target): number {
-        return this.health.get(keyOf(target))?.errorShare ?? 0;
+        return this.health.get(targetKey(target))?.errorShare ?? 0;
     }
 
     /** How many times longer than expected the target takes. */
     slowness(target: Target): number {
-        return this.health.get(keyOf(target))?.slowness ?? 1;
+        return this.health.get(targetKey(target))?.slowness ?? 1;
     }
 
     noteUnreachable(target: Target): void {
@@ -62,19 +63,21 @@
         }
     }
 
-    /** @param ratio Time that the answer took, relative to what was expected. */
-    noteAnswer(target: Target, isError: boolean, ratio: number | undefined): void {
+    noteAnswer(target: Target, isError: boolean): void {
         const health = this.of(target);
         health.failuresInRow = 0;
         health.errorShare += SMOOTHING * (Number(isError) - health.errorShare);
-        if (ratio !== undefined && !isError) {
-            health.slowness += SMOOTHING * (Math.min(MAX_SLOWNESS, ratio) - health.slowness);
-        }
+    }
+
+    /** @param ratio Time that a request took, or had taken when it was ended, relative to what was expected. */
+    noteSlow(target: Target, ratio: number): void {
+        const health = this.of(target);
+        health.slowness += SMOOTHING * (Math.min(MAX_SLOWNESS, ratio) - health.slowness);
     }
 
     /** Forgets targets that are gone. */
     retain(targets: readonly Target[]): void {
-        const keys = new Set(targets.map(keyOf));
+        const keys = new Set(targets.map(targetKey));
         [...this.health.keys()].filter(key => !keys.has(key)).forEach(key => this.health.delete(key));
     }
 
@@ -84,7 +87,7 @@
     }
 
     private of(target: Target): Health {
-        const key = keyOf(target);
+        const key = targetKey(target);
         let health = this.health.get(key);
         if (health === undefined) {
             health = { blockedUntil: 0, failuresInRow: 0, unprovenUntil: 0, errorShare: 0, slowness: 1 };
@@ -93,7 +96,3 @@
         return health;
     }
 }
-
-function keyOf({ id, incarnation }: Target): string {
-    return `${id}/${incarnation}`;
-}
--- a/placement/src/targetLoads.ts
+++ b/placement/src/targetLoads.ts
@@ -1,4 +1,5 @@
 import type { ReportedLoad } from "./reportedLoad.js";
+import type { Target } from "./target.js";
 
 interface TargetLoadsOptions {
     /** Monotonic time in ms. */
@@ -78,6 +79,14 @@
         return this.ownOn(targetId) + this.othersOn(targetId);
     }
 
+    /** Forgets targets that are gone. */
+    retain(targets: readonly Target[]): void {
+        const ids = new Set(targets.map(({ id }) => id));
+        for (const known of [this.reports, this.fullUntil]) {
+            [...known.keys()].filter(id => !ids.has(id)).forEach(id => known.delete(id));
+        }
+    }
+
     private ownOn(targetId: string): number {
         return this.own.get(targetId) ?? 0;
     }
--- a/placement/src/targetRegistry.ts
+++ b/placement/src/targetRegistry.ts
@@ -50,8 +50,9 @@
         }
     }
 
-    ids(): string[] {
-        return [...this.known.keys()];
+    /** All targets that are known, draining ones too. */
+    get all(): readonly Target[] {
+        return [...this.known.values()].map(({ target }) => target);
     }
 
     /** Availability zones whose targets get nothing more. */
@@ -60,10 +61,6 @@
         this.revision++;
     }
 
-    isEvacuated(availabilityZone: string): boolean {
-        return this.evacuated.has(availabilityZone);
-    }
-
     isCold(target: Target): boolean {
         return (this.known.get(target.id)?.coldUntil ?? 0) > this.opts.now();
     }
@@ -85,13 +82,6 @@
         return this.byService.get(service) ?? [];
     }
 
-    /** Whether this incarnation of the target may still be sent requests. */
-    isUsable({ id, incarnation }: Target): boolean {
-        const current = this.known.get(id)?.target;
-        return current !== undefined && current.incarnation === incarnation && !current.isDraining &&
-            !this.evacuated.has(current.availabilityZone);
-    }
-
     private groupUsable(): Map<string, readonly Target[]> {
         const groups = new Map<string, Target[]>();
         for (const { target } of this.known.values()) {
--- a/placement/src/warmObjects.ts
+++ b/placement/src/warmObjects.ts
@@ -1,4 +1,5 @@
 import type { Target } from "./target.js";
+import { targetKey } from "./targetKey.js";
 
 /** Objects that a target is taken to remember. */
 const REMEMBERED_OBJECTS = 60;
@@ -11,9 +12,9 @@
     /** Takes note of a request that the target has handled. */
     note(target: Target, object: string): void {
         if (!this.isWarm(target, object)) {
-            this.noted.push([keyOf(target), object]);
+            this.noted.push([targetKey(target), object]);
         }
-        this.add(keyOf(target), object);
+        this.add(targetKey(target), object);
     }
 
     /** Takes note of what another host has seen. */
@@ -22,12 +23,12 @@
     }
 
     isWarm(target: Target, object: string): boolean {
-        return this.byTarget.get(keyOf(target))?.has(object) ?? false;
+        return this.byTarget.get(targetKey(target))?.has(object) ?? false;
     }
 
     /** Objects that the target is taken to remember. */
     countOn(target: Target): number {
-        return this.byTarget.get(keyOf(target))?.size ?? 0;
+        return this.byTarget.get(targetKey(target))?.size ?? 0;
     }
 
     /** Pairs that are new since the last call, for the other hosts. */
@@ -46,7 +47,7 @@
 
     /** Forgets targets that are gone. */
     retain(targets: readonly Target[]): void {
-        const keys = new Set(targets.map(keyOf));
+        const keys = new Set(targets.map(targetKey));
         [...this.byTarget.keys()].filter(key => !keys.has(key)).forEach(key => this.byTarget.delete(key));
     }
 
@@ -64,7 +65,3 @@
         }
     }
 }
-
-function keyOf({ id, incarnation }: Target): string {
-    return `${id}/${incarnation}`;
-}
--- a/placement/src/workTimes.ts
+++ b/placement/src/workTimes.ts
@@ -7,42 +7,50 @@
 interface WorkKey {
     readonly service: string;
     readonly route: string;
-    readonly isWarm: boolean;
     readonly objectiveMs: number;
 }
 
-/** Mean times that requests take at targets with a free slot, by service and route, for warm and cold objects. */
-export class WorkTimes {
-    private readonly means = new Map<string, number>();
-    private readonly serviceMeans = new Map<string, number>();
-
-    record(key: WorkKey, ms: number): void {
-        const name = nameOf(key);
-        this.means.set(name, smooth(this.means.get(name), ms));
-        this.serviceMeans.set(key.service, smooth(this.serviceMeans.get(key.service), ms));
-    }
+/** Times of one kind of work, in ms. */
+interface WorkTime {
+    readonly expectedMs: number;
+    /** 0 if nothing has been measured. */
+    readonly measuredMs: number;
+}
 
-    /** Expected time of one request, in ms. */
-    expect(key: WorkKey): number {
-        const share = key.isWarm ? ASSUMED_WARM_SHARE : ASSUMED_COLD_SHARE;
-        return this.means.get(nameOf(key)) ?? key.objectiveMs * share;
-    }
+interface WorkEstimate {
+    readonly warm: WorkTime;
+    readonly cold: WorkTime;
+    /** Mean of all requests of the service, in ms. */
+    readonly meanMs: number;
+}
 
-    /** Expected time of one request as measured, in ms; 0 if nothing has been measured. */
-    measured(key: WorkKey): number {
-        return this.means.get(nameOf(key)) ?? 0;
+/** Mean times that requests take at targets with a free slot, by service and route, for warm and cold objects. */
+export class WorkTimes {
+    private readonly warm = new Map<string, number>();
+    private readonly cold = new Map<string, number>();
+    private readonly services = new Map<string, number>();
+
+    record({ service, route }: WorkKey, isWarm: boolean, ms: number): void {
+        const key = `${service}\n${route}`;
+        const means = isWarm ? this.warm : this.cold;
+        means.set(key, smooth(means.get(key), ms));
+        this.services.set(service, smooth(this.services.get(service), ms));
     }
 
-    /** Mean time of all requests of the service, in ms. */
-    meanOf(service: string, objectiveMs: number): number {
-        return this.serviceMeans.get(service) ?? objectiveMs * ASSUMED_WARM_SHARE;
+    estimate({ service, route, objectiveMs }: WorkKey): WorkEstimate {
+        const key = `${service}\n${route}`;
+        const timeOf = (mean: number | undefined, assumedShare: number): WorkTime => ({
+            expectedMs: mean ?? objectiveMs * assumedShare,
+            measuredMs: mean ?? 0,
+        });
+        return {
+            warm: timeOf(this.warm.get(key), ASSUMED_WARM_SHARE),
+            cold: timeOf(this.cold.get(key), ASSUMED_COLD_SHARE),
+            meanMs: this.services.get(service) ?? objectiveMs * ASSUMED_WARM_SHARE,
+        };
     }
 }
 
-function nameOf({ service, route, isWarm }: WorkKey): string {
-    return `${service}\n${route}\n${isWarm}`;
-}
-
 function smooth(mean: number | undefined, sample: number): number {
     return mean === undefined ? sample : mean + SMOOTHING * (sample - mean);
 }
--- a/platform-store/src/httpObjectStore.ts
+++ b/platform-store/src/httpObjectStore.ts
@@ -1,10 +1,10 @@
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
-import { type Dispatcher, Pool } from "undici";
 import { z } from "zod";
 import type { CallCount } from "./callCount.js";
 import { type HostList, type ListedHost, listedHostSchema } from "./hostList.js";
 import type { ObjectStore, StoreChange, StoredObject, WriteCondition } from "./objectStore.js";
+import { StoreConnection } from "./storeConnection.js";
 
 interface HttpObjectStoreOptions {
     /** Time that a call may take, in ms. */
@@ -36,16 +36,13 @@
 export class HttpObjectStore implements ObjectStore, HostList {
     /** Calls made so far. */
     readonly calls: CallCount = { read: 0, write: 0, watch: 0 };
-    private readonly pool: Pool;
+    private readonly connection: StoreConnection;
     private readonly timeoutMs: number;
-    private readonly authorization: Record<string, string>;
 
     constructor(url: string, opts: HttpObjectStoreOptions = {}) {
-        this.pool = new Pool(url, {
-            connections: opts.connections ?? DEFAULT_CONNECTIONS,
-            ...(opts.localAddress === undefined ? {} : { localAddress: opts.localAddress }),
-        });
-        this.authorization = opts.token === undefined ? {} : { authorization: `Bearer ${opts.token}` };
+        const { connections = DEFAULT_CONNECTIONS, localAddress, token } = opts;
+        const headers = token === undefined ? {} : { authorization: `Bearer ${token}` };
+        this.connection = new StoreConnection(url, { connections, localAddress, headers });
         this.timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     }
 
@@ -88,7 +85,7 @@
 
     async list(prefix: string): Promise<Result<readonly string[], Failure>> {
         this.calls.read++;
-        return this.callJson(`/v1/objects?prefix=${encodeURIComponent(prefix)}`, namesSchema, this.timeoutMs);
+        return this.callJson(`/v1/values?prefix=${encodeURIComponent(prefix)}`, namesSchema, this.timeoutMs);
     }
 
     async watch(prefix: string, after: number, waitMs: number): Promise<Result<StoreChange, Failure>> {
@@ -104,7 +101,7 @@
 
     /** Ends all calls and connections. */
     async close(): Promise<void> {
-        await this.pool.destroy();
+        await this.connection.close();
     }
 
     private async callJson<S extends z.ZodType>(
@@ -127,27 +124,16 @@
     }
 
     private async call(
-        request: Pick<Dispatcher.RequestOptions, "method" | "path" | "headers" | "body">,
+        request: Parameters<StoreConnection["call"]>[0],
         timeoutMs = this.timeoutMs,
     ): Promise<Result<Answer, Failure>> {
-        try {
-            const { statusCode: status, headers, body } = await this.pool.request({
-                ...request,
-                headers: { ...this.authorization, ...request.headers as Record<string, string> | undefined },
-                signal: AbortSignal.timeout(timeoutMs),
-                headersTimeout: timeoutMs,
-                bodyTimeout: timeoutMs,
-            });
-            return ok({ status, version: String(headers["etag"] ?? ""), text: await body.text() });
-        }
-        catch (cause) {
-            return err(new Failure("storeUnreachable", `no answer from the store to ${request.method}`, { cause }));
-        }
+        const answer = await this.connection.call(request, timeoutMs);
+        return answer.map(({ status, headers, text }) => ({ status, version: String(headers["etag"] ?? ""), text }));
     }
 }
 
 function objectPath(name: string): string {
-    return `/v1/objects/${encodeURIComponent(name)}`;
+    return `/v1/values/${encodeURIComponent(name)}`;
 }
 
 function rejected(status: number): Failure {
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -122,6 +122,13 @@
         "the client of a lookup is not an address",
         "send an IPv4 or IPv6 address",
     ),
+    memoryFull: code(
+        3032,
+        503,
+        "not run",
+        "the bodies that the host holds fill its memory",
+        "use another host of the look-up, or retry later",
+    ),
 
     // 4xxx: requests that may have run
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
--- /dev/null
+++ b/runtime/src/endpoint.ts
@@ -0,0 +1,5 @@
+/** An IP address and a port. */
+export interface Endpoint {
+    readonly address: string;
+    readonly port: number;
+}
--- /dev/null
+++ b/runtime/src/malformedFailure.ts
@@ -0,0 +1,13 @@
+import { Failure } from "@pistachioreel/result-code";
+
+/** The failure behind an error of Node's HTTP parser. */
+export function malformedFailure(error: NodeJS.ErrnoException): Failure {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return new Failure("headerTooLarge");
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return new Failure("requestTimeout");
+        default:
+            return new Failure("requestMalformed");
+    }
+}
--- a/testing/src/storeStandIn.ts
+++ b/testing/src/storeStandIn.ts
@@ -63,12 +63,12 @@
         else if (url.pathname === "/v1/hosts") {
             answer(response, 200, JSON.stringify(this.hosts));
         }
-        else if (url.pathname === "/v1/objects") {
+        else if (url.pathname === "/v1/values") {
             const prefix = url.searchParams.get("prefix") ?? "";
             answer(response, 200, JSON.stringify([...this.objects.keys()].filter(name => name.startsWith(prefix))));
         }
         else {
-            await this.object(decodeURIComponent(url.pathname.slice("/v1/objects/".length)), request, response);
+            await this.object(decodeURIComponent(url.pathname.slice("/v1/values/".length)), request, response);
         }
     }
 
@@ -78,7 +78,7 @@
         if (operator === undefined || token === operator) {
             return true;
         }
-        const name = decodeURIComponent(url.pathname.slice("/v1/objects/".length));
+        const name = decodeURIComponent(url.pathname.slice("/v1/values/".length));
         return token === host && (method === "GET" || HOST_PREFIXES.some(prefix => name.startsWith(prefix)));
     }
 
@@ -146,7 +146,7 @@
             this.hosts = JSON.parse(body);
         }
         const objects = Object.fromEntries([...this.objects].map(([name, { value }]) => [name, value]));
-        answer(response, 200, JSON.stringify(path === "/control/objects" ? objects : this.calls));
+        answer(response, 200, JSON.stringify(path === "/control/values" ? objects : this.calls));
     }
 }
 
