Start with the help of other hosts while the store is away, and link hosts whose clock was set back

Cause 1: a host that starts while the store is silent knows no other host, so it served nobody until the store was back; with peers it still waited for its feed of evacuations, whose revision is 0 on all hosts as long as there has been none. Change: the settings name seeds (addresses of some hosts); a host without any link opens links to them after 0.7 s, and asks a peer for every feed that it has not read whole itself. Reports name only feeds that were read whole.

Cause 2: the mesh rejected an incarnation below the newest one it had seen of a host. Incarnations begin with the time of day, so a host that restarted after its clock had been set back got no link until the clock had caught up. Change: an earlier incarnation is rejected only while a link to a later one is open.

--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -79,7 +79,8 @@
 
     private makeReport(): GatewayReport {
         const { state, callers, loads, warm, limits, feeds } = this.opts;
-        const revisions = [...feeds].map(([name, { revision }]) => [name, revision] as const);
+        const complete = [...feeds].filter(([, { isComplete }]) => isComplete);
+        const revisions = complete.map(([name, { revision }]) => [name, revision] as const);
         return {
             state: state(),
             callers,
@@ -104,7 +105,7 @@
         report.warmed.forEach(([key, object]) => warm.noteRemote(key, object));
         for (const [name, revision] of Object.entries(report.revisions)) {
             const feed = feeds.get(name);
-            if (feed !== undefined && revision > feed.revision) {
+            if (feed !== undefined && isBehind(feed, revision)) {
                 void this.askFeed(from, name, feed, revision);
             }
         }
@@ -118,7 +119,7 @@
         this.asked.add(name);
         try {
             await sleep(FEED_PATIENCE_MS, undefined, { signal: this.opts.signal });
-            if (revision <= feed.revision) {
+            if (!isBehind(feed, revision)) {
                 return;
             }
             const answer = await this.opts.mesh.request(from.hostId, { type: FEED_TYPE, feed: name }, FEED_TIMEOUT_MS);
@@ -144,3 +145,7 @@
         return feed === undefined ? undefined : { type: FEED_TYPE, page: feed.encode() };
     }
 }
+
+function isBehind(feed: SharedFeed, revision: number): boolean {
+    return revision > feed.revision || !feed.isComplete;
+}
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -135,7 +135,7 @@
 
     /** Opens the listeners and begins to follow the store. Rejects if an address is in use. */
     async start(): Promise<void> {
-        const { hostId, callers, readiness, directory, metrics } = this.opts.settings;
+        const { hostId, callers, readiness, directory, metrics, seeds } = this.opts.settings;
         const { service, listener } = this;
         await this.mesh.start();
         await listen(service.readiness, parseEndpoint(readiness));
@@ -143,6 +143,7 @@
         await listen(service.metrics, parseEndpoint(metrics));
         await listen(listener.server, parseEndpoint(callers));
         this.known.run();
+        void this.mesh.useSeeds(seeds);
         void this.exchange.run();
         void this.announce();
         this.opts.logger.info({ event: "host-started", fields: { host: hostId, callers } });
--- a/gateway/src/settings.ts
+++ b/gateway/src/settings.ts
@@ -24,6 +24,8 @@
     /** The first is offered to other hosts, all are accepted. */
     peerSecrets: z.array(z.string().min(1)).min(1),
     store: address,
+    /** Listeners of some other hosts, for a start at which the store names none. */
+    seeds: z.array(address).default([]),
     /** Region of each availability zone. */
     regions: z.record(z.string(), z.string()),
     /** Memory that the process may use, in MB. */
--- a/gateway/src/shareFeed.ts
+++ b/gateway/src/shareFeed.ts
@@ -23,6 +23,9 @@
         get revision() {
             return follower.revision;
         },
+        get isComplete() {
+            return follower.hasRead;
+        },
         encode: () => ({
             entries: follower.page.entries.map(({ name, revision, value }) => ({
                 name,
--- a/peering/src/webSocketMesh.ts
+++ b/peering/src/webSocketMesh.ts
@@ -35,6 +35,9 @@
 /** The host with the higher id opens a link only if the other has not done so for this long. */
 const SECOND_OPENER_DELAY_MS = 1_000;
 const LINKED_CHECK_MS = 2_000;
+/** The store usually names the other hosts sooner than this after a start. */
+const SEED_PATIENCE_MS = 700;
+const SEED_RETRY_MS = 1_500;
 const MIN_HEARTBEAT_MS = 500;
 /** Keeps the heartbeats of a host to 40 a second, however many links it has. */
 const HEARTBEAT_MS_PER_LINK = 25;
@@ -43,8 +46,6 @@
 export class WebSocketMesh implements PeerMesh {
     readonly traffic: LinkTraffic = { sentFrames: 0, sentBytes: 0, receivedBytes: 0, dropped: 0 };
     private readonly links = new Map<string, PeerLink>();
-    /** Newest incarnation of each host that has been linked. */
-    private readonly incarnations = new Map<string, string>();
     private readonly known = new Map<string, string>();
     private readonly keepers = new Set<string>();
     private readonly handlers = new Map<string, PeerHandler>();
@@ -87,6 +88,19 @@
         }
     }
 
+    /** Opens links to hosts that are known by address only, whenever this host has no link. */
+    async useSeeds(addresses: readonly string[]): Promise<void> {
+        const { signal } = this.stopping;
+        const others = addresses.filter(address => address !== `${this.opts.address}:${this.opts.port}`);
+        await sleep(SEED_PATIENCE_MS, undefined, { signal }).catch(() => undefined);
+        while (!signal.aborted && others.length > 0) {
+            if (this.links.size === 0) {
+                others.forEach(address => void this.open(address));
+            }
+            await sleep(SEED_RETRY_MS * (1 + Math.random()), undefined, { signal }).catch(() => undefined);
+        }
+    }
+
     peers(): readonly PeerIdentity[] {
         return [...this.links.values()].filter(link => link.isOpen).map(link => link.peer);
     }
@@ -123,7 +137,7 @@
         let failures = 0;
         while (!signal.aborted && this.known.has(hostId)) {
             const mayOpen = !this.links.has(hostId) && (!isSecondOpener || failures > 0);
-            const wasLinked = mayOpen && await this.open(hostId);
+            const wasLinked = mayOpen && await this.open(this.known.get(hostId)!, hostId);
             failures = this.links.has(hostId) || wasLinked ? 0 : failures + 1;
             await sleep(this.links.has(hostId) ? LINKED_CHECK_MS : waitMs(failures, isSecondOpener), undefined, {
                 signal,
@@ -133,8 +147,8 @@
     }
 
     /** Opens a connection and runs it until it closes; tells whether it became a link. */
-    private async open(hostId: string): Promise<boolean> {
-        const socket = new WebSocket(`ws://${this.known.get(hostId)}`, {
+    private async open(address: string, hostId?: string): Promise<boolean> {
+        const socket = new WebSocket(`ws://${address}`, {
             localAddress: this.opts.address,
             handshakeTimeout: OPEN_TIMEOUT_MS,
             maxPayload: MAX_FRAME_BYTES,
@@ -174,10 +188,9 @@
 
     /** Serves a link; it replaces an earlier link to the same host, which may be half open. */
     private async serve(link: PeerLink): Promise<void> {
-        const { hostId, incarnation } = link.peer;
+        const { hostId } = link.peer;
         this.links.get(hostId)?.close();
         this.links.set(hostId, link);
-        this.incarnations.set(hostId, incarnation);
         this.notify("peer-linked", hostId);
         await link.run();
         if (this.links.get(hostId) === link) {
@@ -186,9 +199,11 @@
         }
     }
 
+    /** An earlier incarnation is taken only without an open link, as clocks can be set back between two starts. */
     private isAcceptable({ hostId, incarnation }: PeerIdentity, expected: string | undefined): boolean {
         const isNamedRight = hostId !== this.opts.identity.hostId && (expected ?? hostId) === hostId;
-        return isNamedRight && incarnation >= (this.incarnations.get(hostId) ?? "");
+        const linked = this.links.get(hostId);
+        return isNamedRight && (linked === undefined || !linked.isOpen || incarnation >= linked.peer.incarnation);
     }
 
     private notify(event: "peer-linked" | "peer-lost", peer: string): void {
--- /dev/null
+++ b/peering/test/webSocketMesh.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { newIncarnation, WebSocketMesh } from "../src/index.js";
+
+const PATIENCE_MS = 8_000;
+const HOUR_MS = 3_600_000;
+
+describe("mesh of two hosts", () => {
+    const meshes: WebSocketMesh[] = [];
+    afterEach(() => meshes.splice(0).forEach(mesh => mesh.stop()));
+
+    async function startMesh(hostId: string, port: number, incarnation = newIncarnation()): Promise<WebSocketMesh> {
+        const mesh = new WebSocketMesh({
+            identity: { hostId, incarnation, availabilityZone: "z-a", region: "north" },
+            address: "127.0.0.1",
+            port,
+            secrets: ["secret of the test"],
+            now: () => performance.now(),
+        });
+        await mesh.start();
+        meshes.push(mesh);
+        return mesh;
+    }
+
+    it("guards against a host that knows others by address only and stays alone", async () => {
+        const [portA, portB] = [await freePort(), await freePort()];
+        const first = await startMesh("a", portA);
+        const second = await startMesh("b", portB);
+        void second.useSeeds([`127.0.0.1:${portB}`, `127.0.0.1:${portA}`]);
+        await until(() => first.peers().length === 1 && second.peers().length === 1);
+        assert.equal(second.peers()[0]?.hostId, "a");
+    });
+
+    it("guards against a host that is kept out because its clock was set back before it restarted", async () => {
+        const [portA, portB] = [await freePort(), await freePort()];
+        const first = await startMesh("a", portA);
+        first.setPeers([{ hostId: "b", address: `127.0.0.1:${portB}` }]);
+        const earlier = await startMesh("b", portB);
+        await until(() => first.peers().length === 1);
+        earlier.stop();
+        await until(() => first.peers().length === 0);
+        const incarnation = newIncarnation(Date.now() - HOUR_MS);
+        await startMesh("b", portB, incarnation);
+        await until(() => first.peers()[0]?.incarnation === incarnation);
+    });
+});
+
+async function freePort(): Promise<number> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
+
+async function until(condition: () => boolean): Promise<void> {
+    const endAt = performance.now() + PATIENCE_MS;
+    while (!condition()) {
+        assert.ok(performance.now() < endAt, "the condition did not come true in time");
+        await sleep(20);
+    }
+}
