Send the heartbeats of all links from one task

Cause: each link had a timer of its own that fired twice in each heartbeat interval and waited for two turns of the event loop.

--- a/peering/src/peerLink.ts
+++ b/peering/src/peerLink.ts
@@ -1,6 +1,5 @@
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
-import { setTimeout as sleep } from "node:timers/promises";
 import { frameSchema } from "./frames.js";
 import type { FrameSocket } from "./frameSocket.js";
 import type { HeartbeatPart, PeerHandler, PeerIdentity, PeerMessage } from "./peerMesh.js";
@@ -10,8 +9,6 @@
     readonly socket: FrameSocket;
     readonly handlers: ReadonlyMap<string, PeerHandler>;
     readonly parts: ReadonlyMap<string, HeartbeatPart>;
-    /** Longest time between two heartbeats, in ms; 500 ms by default. */
-    readonly heartbeatIntervalMs?: () => number;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -21,7 +18,6 @@
     readonly at: number;
 }
 
-const DEFAULT_HEARTBEAT_INTERVAL_MS = 500;
 /** Checked twice in an interval; a heartbeat that is due before the next check is sent now. */
 const DUE_SHARE = 0.75;
 /** A link is closed when this many heartbeats went without an answer. */
@@ -41,7 +37,7 @@
     private requestSequence = 0;
     private running = 0;
     private readonly pending = new Map<number, (answer: Result<PeerMessage, Failure>) => void>();
-    private readonly closing = new AbortController();
+    private isClosed = false;
 
     constructor(private readonly opts: PeerLinkOptions) {}
 
@@ -50,15 +46,14 @@
     }
 
     get isOpen(): boolean {
-        return this.opts.socket.isOpen && !this.closing.signal.aborted;
+        return this.opts.socket.isOpen && !this.isClosed;
     }
 
     /** Runs the link until it closes or an invalid frame arrives. */
     async run(): Promise<Result<void, Failure>> {
-        const beating = this.sendHeartbeats();
+        this.beat();
         const ended = await this.readFrames();
         this.close();
-        await beating;
         return ended;
     }
 
@@ -98,31 +93,28 @@
         socket.send(["heartbeat", sequence, this.lastReceived, payload]);
     }
 
+    /** Sends a heartbeat if one is due before half of the interval, in ms, has passed. */
+    beatIfDue(intervalMs: number): void {
+        if (this.opts.now() - this.beatAt >= intervalMs * DUE_SHARE) {
+            this.beat();
+        }
+    }
+
+    /** Closes the link if the peer has been silent for too many intervals, in ms. */
+    closeIfSilent(intervalMs: number): void {
+        const oldest = this.unanswered[0];
+        if (oldest !== undefined && this.opts.now() - oldest.at > MAX_UNANSWERED * intervalMs) {
+            this.close();
+        }
+    }
+
     close(): void {
-        this.closing.abort();
+        this.isClosed = true;
         this.opts.socket.terminate();
         const failure = new Failure("peerUnreachable", `the link to ${this.peer.hostId} closed`);
         [...this.pending.values()].forEach(finish => finish(err(failure)));
     }
 
-    private async sendHeartbeats(): Promise<void> {
-        const { signal } = this.closing;
-        while (this.isOpen) {
-            const intervalMs = this.opts.heartbeatIntervalMs?.() ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
-            if (this.opts.now() - this.beatAt >= intervalMs * DUE_SHARE) {
-                this.beat();
-            }
-            await sleep(intervalMs / 2, undefined, { signal }).catch(() => undefined);
-            // After a pause of this process the answers are still unread; they are read before silence is judged.
-            await new Promise(resolve => setImmediate(resolve));
-            await new Promise(resolve => setImmediate(resolve));
-            const oldest = this.unanswered[0];
-            if (oldest !== undefined && this.opts.now() - oldest.at > MAX_UNANSWERED * intervalMs) {
-                this.close();
-            }
-        }
-    }
-
     private async readFrames(): Promise<Result<void, Failure>> {
         for (;;) {
             const received = await this.opts.socket.receive(frameSchema);
--- a/peering/src/webSocketMesh.ts
+++ b/peering/src/webSocketMesh.ts
@@ -63,6 +63,7 @@
         this.server = new WebSocketServer({ host, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false });
         this.server.on("connection", socket => void this.accept(socket));
         await once(this.server, "listening");
+        void this.keepBeating();
     }
 
     /** Closes the listener and all links. */
@@ -130,6 +131,25 @@
         this.listeners.push(listener);
     }
 
+    /** Longest time between two heartbeats of a link, in ms. */
+    private get heartbeatIntervalMs(): number {
+        return Math.max(MIN_HEARTBEAT_MS, HEARTBEAT_MS_PER_LINK * this.links.size);
+    }
+
+    /** Sends the heartbeats of all links and closes silent ones. One timer wakes the process less often than one a link. */
+    private async keepBeating(): Promise<void> {
+        const { signal } = this.stopping;
+        while (!signal.aborted) {
+            const intervalMs = this.heartbeatIntervalMs;
+            this.links.forEach(link => link.beatIfDue(intervalMs));
+            await sleep(intervalMs / 2, undefined, { signal }).catch(() => undefined);
+            // After a pause of this process the answers are still unread; they are read before silence is judged.
+            await new Promise(resolve => setImmediate(resolve));
+            await new Promise(resolve => setImmediate(resolve));
+            this.links.forEach(link => link.closeIfSilent(intervalMs));
+        }
+    }
+
     /** The task of one peer: opens a link whenever there is none, until the peer is no longer known. */
     private async keepLinked(hostId: string): Promise<void> {
         const { signal } = this.stopping;
@@ -180,8 +200,7 @@
             return false;
         }
         const { handlers, parts } = this;
-        const heartbeatIntervalMs = () => Math.max(MIN_HEARTBEAT_MS, HEARTBEAT_MS_PER_LINK * this.links.size);
-        const link = new PeerLink({ peer: proved.value, socket: frames, handlers, parts, heartbeatIntervalMs, now });
+        const link = new PeerLink({ peer: proved.value, socket: frames, handlers, parts, now });
         await this.serve(link);
         return true;
     }
