Pass requests on after their connection was read once more; let the soak's process end

Cause: hosts were overloaded, turns of the event loop took 0.2 to 0.45 s. A connection that waited to be accepted is read in one turn and its end in the next, so the request was sent to a target at once although its caller was gone. Ruled out: targets (the requests left the host late), slow connects (an abort ends them). Change: a request passes after two checks of the event loop, so after one more reading of all connections, and at most 100 ms of requests pass between two readings.

Cause: the fault proxy forgot the other socket of a silent connection whose one side had closed; close() destroys all sockets now.

--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -13,6 +13,7 @@
 import { HeldBodies } from "./heldBodies.js";
 import type { RelayedRequest } from "./relayedRequest.js";
 import type { RequestRelay } from "./requestRelay.js";
+import { TurnGate } from "./turnGate.js";
 import type { WorkspaceLimits } from "./workspaceLimits.js";
 
 interface RequestListenerOptions {
@@ -60,12 +61,14 @@
     private readonly split = new SplitChooser();
     private readonly waits = new CallerWaits();
     private readonly bodies: HeldBodies;
+    private readonly turns: TurnGate;
     private runningCount = 0;
     private connectionCount = 0;
     private isLeaving = false;
 
     constructor(private readonly opts: RequestListenerOptions) {
         this.bodies = new HeldBodies(opts.maxHeldBytes);
+        this.turns = new TurnGate({ now: opts.now });
         this.server = createServer({
             keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
@@ -177,6 +180,7 @@
             this.refuse(exchange, new Failure("rateExceeded"), { retryAfterMs, deadlineAt, route, workspace });
             return;
         }
+        await this.turns.pass();
         const relayed = this.relayedRequest(request, exchange, admitted, body);
         const result = await relay.run(relayed, exchange.signal);
         metrics.latency.observe({ route: route.name }, exchange.tookMs / MS_PER_SECOND);
--- a/testing/src/faultProxy.ts
+++ b/testing/src/faultProxy.ts
@@ -29,6 +29,8 @@
 export class FaultProxy {
     private readonly server: Server;
     private readonly open = new Set<ProxiedConnection>();
+    /** All sockets that are not closed, also those whose other side has gone while the connection was silent. */
+    private readonly sockets = new Set<Socket>();
     private faultOf: (sourceAddress: string) => ConnectionFault = () => ({ mode: "pass" });
 
     constructor(private readonly listenAt: Endpoint, private readonly upstream: Endpoint) {
@@ -59,7 +61,7 @@
 
     close(): void {
         this.server.close();
-        this.resetOpenConnections();
+        this.sockets.forEach(socket => socket.destroy());
     }
 
     private applyTo(isAffected: (connection: ProxiedConnection) => boolean): void {
@@ -80,6 +82,10 @@
         const { address: host, port } = this.upstream;
         const connection: ProxiedConnection = { client, server: connect({ host, port }), fault };
         this.open.add(connection);
+        for (const socket of [client, connection.server]) {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        }
         this.relay(connection, client, connection.server, "silent-to-server");
         this.relay(connection, connection.server, client, "silent-to-client");
     }
