Notice callers that left by the end of their connection

Cause of GONE on the witness's coldReturnInBurst: a trace of each step shows a request that arrived at 14.348 s, was read at 15.386 s, passed TurnGate 2 ms later and was sent; its caller had left at 14.722 s. The end of the connection had been read by then, but node closes the response only some turns of the event loop after that. Ruled out: waiting for a crash suspect's turn and slow connects (3 ms from reading to sending). Change: the signal aborts at the end of the socket. The test opens and leaves connections from another thread while the event loop is blocked: all of 20 requests passed before, none does now; with resets none did before either. The earlier test with a paused process also passed without this.

--- a/gateway/src/callerExchange.ts
+++ b/gateway/src/callerExchange.ts
@@ -36,7 +36,13 @@
         const { dialect, request, response, now } = opts;
         this.arrivedAt = now();
         this.caller = dialect.readRequest(request);
-        response.once("close", () => response.writableFinished || this.left.abort());
+        const leave = () => response.writableFinished || this.left.abort();
+        // The end of the connection is read some turns of the event loop before the response closes.
+        request.socket.once("end", leave);
+        response.once("close", () => {
+            request.socket.off("end", leave);
+            leave();
+        });
     }
 
     /** Aborts when the caller has left. */
