--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -3,6 +3,7 @@
 import { limitsBench } from "./limitsBench.js";
 import { limitsFairnessBench } from "./limitsFairnessBench.js";
 import { passthroughBench } from "./passthroughBench.js";
+import { placementBench } from "./placementBench.js";
 import { runNamed } from "./runNamed.js";
 import { steeringBench } from "./steeringBench.js";
 
@@ -12,5 +13,6 @@
     limits: limitsBench,
     "limits-fairness": limitsFairnessBench,
     passthrough: passthroughBench,
+    placement: placementBench,
     steering: steeringBench,
 });
--- /dev/null
+++ b/bench/src/placementBench.ts
@@ -0,0 +1,92 @@
+import {
+    ColdAdmission,
+    Placement,
+    type PlacementRequest,
+    type Target,
+    TargetHealth,
+    TargetLoads,
+    TargetRegistry,
+    WarmObjects,
+    WorkTimes,
+} from "@pistachioreel/placement";
+
+const TARGETS = 127;
+const PEERS = 81;
+const TARGETS_PER_PEER = 30;
+const OBJECTS = 100;
+const WARM_UP = 400;
+const CHOICES = 2_000;
+const ROUNDS = 5;
+const US_PER_MS = 1_000;
+const now = () => performance.now();
+
+/** Measures the time of one choice of a target on a host of a large fleet whose objects are warm. */
+export async function placementBench(): Promise<void> {
+    const registry = new TargetRegistry({ now });
+    const targets = Array.from({ length: TARGETS }, (_, index) => newTarget(index));
+    targets.forEach(target => registry.put(target));
+    const loads = new TargetLoads({ now });
+    const warm = new WarmObjects();
+    const hostIds = ["h0"];
+    const cold = new ColdAdmission({ hostId: "h0", hostIds: () => hostIds, limitOf: () => 10, now });
+    const parts = { registry, loads, warm, health: new TargetHealth({ now }), times: new WorkTimes(), cold, now };
+    const placement = new Placement({ ...parts, availabilityZone: "n-a", region: "north" });
+    const choose = (object: string) => {
+        const choice = placement.choose(newRequest(object));
+        if ("target" in choice) {
+            warm.note(choice.target, object);
+        }
+    };
+    for (let round = 0; round < ROUNDS; round++) {
+        tellOfPeers(loads);
+        play(choose, WARM_UP);
+        const startedAt = now();
+        play(choose, CHOICES);
+        const perChoiceUs = (now() - startedAt) / CHOICES * US_PER_MS;
+        process.stdout.write(`targets=${TARGETS} peers=${PEERS} us_per_choice=${perChoiceUs.toFixed(1)}\n`);
+    }
+}
+
+function tellOfPeers(loads: TargetLoads): void {
+    for (let peer = 0; peer < PEERS; peer++) {
+        const running = Array.from(
+            { length: TARGETS_PER_PEER },
+            (_, index) => [`t${(peer * 7 + index * 3) % TARGETS}`, 1] as const,
+        );
+        loads.setPeer(`h${peer + 1}`, new Map(running));
+    }
+}
+
+function play(choose: (object: string) => void, choices: number): void {
+    for (let i = 0; i < choices; i++) {
+        choose(`o${i % OBJECTS}`);
+    }
+}
+
+function newTarget(index: number): Target {
+    return {
+        id: `t${index}`,
+        incarnation: 1,
+        address: "127.0.0.1:1",
+        service: "svc",
+        availabilityZone: index % 3 === 0 ? "n-a" : "s-a",
+        region: index % 3 === 0 ? "north" : "south",
+        slots: 6,
+        isDraining: false,
+        coldMs: 0,
+    };
+}
+
+function newRequest(object: string): PlacementRequest {
+    return {
+        service: "svc",
+        route: "read",
+        object,
+        regions: undefined,
+        excluded: new Set(),
+        bodyBytes: 0,
+        objectiveMs: 250,
+        objectiveAt: now() + 250,
+        deadlineAt: now() + 2_000,
+    };
+}
--- a/entry/test/lookup.test.ts
+++ b/entry/test/lookup.test.ts
@@ -1,9 +1,8 @@
-import { Fleet, type LoopbackNetwork } from "@pistachioreel/testing";
+import { Fleet, type LoopbackNetwork, until } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { after, before, test } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 
 const PLACES = [["tbilisi-a", "tbilisi"], ["kutaisi-a", "kutaisi"], ["batumi-a", "batumi"]] as const;
@@ -61,14 +60,6 @@
     };
 }
 
-async function waitFor(description: string, timeoutMs: number, isTrue: () => Promise<boolean>): Promise<void> {
-    const deadline = Date.now() + timeoutMs;
-    while (!await isTrue()) {
-        assert.ok(Date.now() < deadline, description);
-        await sleep(20);
-    }
-}
-
 test("without a map, an answer starts with the zone of the host that was asked, and caches hold it 10 s", async () => {
     for (const index of [0, 1, 2]) {
         const { status, cacheControl, body } = await lookup("10.0.0.1", index);
@@ -94,7 +85,7 @@
 test("a published map is in force on all hosts within 14 s, and callers outside it still get an answer", async () => {
     assert.ok((await publish("west")).parts >= 8);
     for (const index of [0, 1, 2]) {
-        await waitFor("map in force", 14_000, async () => (await lookup("10.0.0.1", index)).body.site === "west");
+        await until(async () => (await lookup("10.0.0.1", index)).body.site === "west", 14_000, "map in force");
         const { hosts } = (await lookup("10.0.0.1", index)).body;
         assert.deepEqual(hosts, [2, 1, 0].map(host => fleet.callersOf(host)));
         const ipv6 = (await lookup("2001:db8::5", index)).body;
@@ -113,13 +104,17 @@
         void fleet.setStoreFault({ mode: faults[fault++ % 2], delayMs: 30 });
     }, 100);
     let mixed = 0;
-    await waitFor("map in force", 14_000, async () => {
-        // The first client's new site must never be followed by the second one's old site, in either order.
-        clients.reverse();
-        const [first, second] = [(await lookup(clients[0])).body.site, (await lookup(clients[1])).body.site];
-        mixed += first === "east" && second === "west" ? 1 : 0;
-        return first === "east" && second === "east";
-    }).finally(() => clearInterval(changeFault));
+    await until(
+        async () => {
+            // The first client's new site must never be followed by the second one's old site, in either order.
+            clients.reverse();
+            const [first, second] = [(await lookup(clients[0])).body.site, (await lookup(clients[1])).body.site];
+            mixed += first === "east" && second === "west" ? 1 : 0;
+            return first === "east" && second === "east";
+        },
+        14_000,
+        "map in force",
+    ).finally(() => clearInterval(changeFault));
     await fleet.setStoreFault({ mode: "none", delayMs: 0 });
     assert.equal(mixed, 0);
 });
@@ -128,11 +123,11 @@
     const names = async (index: number) => (await lookup("10.0.0.1")).body.hosts.includes(fleet.callersOf(index));
     assert.ok(await names(1) && await names(2));
     const left = fleet.hosts[1]?.end("SIGTERM");
-    await waitFor("the leaving host is still named", 3_000, async () => !await names(1));
+    await until(async () => !await names(1), 3_000, "the leaving host is still named");
     await left;
     await fleet.startHost(1);
-    await waitFor("the restarted host is not named", 6_000, () => names(1));
+    await until(() => names(1), 6_000, "the restarted host is not named");
     await fleet.hosts[2]?.end("SIGKILL");
-    await waitFor("the dead host is still named", 6_000, async () => !await names(2));
+    await until(async () => !await names(2), 6_000, "the dead host is still named");
     assert.ok(await names(0) && await names(1));
 });
--- a/forwarding/src/connectionPool.ts
+++ b/forwarding/src/connectionPool.ts
@@ -44,12 +44,7 @@
             return { end: "unsent", reason: connection };
         }
         const result = await connection.exchange(makeRequest(), signal);
-        if (connection.isOpen && !this.isClosed && this.idle.length < MAX_IDLE_CONNECTIONS) {
-            this.idle.push(connection);
-        }
-        else {
-            connection.close();
-        }
+        this.keep(connection);
         return result;
     }
 
@@ -59,7 +54,7 @@
         if (typeof connection === "string") {
             return false;
         }
-        this.idle.push(connection);
+        this.keep(connection);
         return true;
     }
 
@@ -76,6 +71,15 @@
         dropped.forEach(connection => connection.close());
     }
 
+    private keep(connection: TargetConnection): void {
+        if (connection.isOpen && !this.isClosed && this.idle.length < MAX_IDLE_CONNECTIONS) {
+            this.idle.push(connection);
+        }
+        else {
+            connection.close();
+        }
+    }
+
     private takeIdle(isIdempotent: boolean): TargetConnection | undefined {
         const now = this.opts.now();
         const maxIdleMs = isIdempotent ? MAX_IDLE_MS : MAX_IDLE_ONCE_MS;
@@ -91,7 +95,10 @@
         return newest !== undefined && now - newest.idleSince < maxIdleMs ? this.idle.pop() : undefined;
     }
 
-    private open(signal: AbortSignal): Promise<TargetConnection | string> {
+    private async open(signal: AbortSignal): Promise<TargetConnection | string> {
+        if (signal.aborted) {
+            return "cancelled";
+        }
         const { address, localAddress, ownership, now, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.opts;
         this.opts.onOpened?.();
         return TargetConnection.open({ address, localAddress, ownership, now, connectTimeoutMs }, signal);
--- a/forwarding/test/targetConnection.test.ts
+++ b/forwarding/test/targetConnection.test.ts
@@ -178,4 +178,23 @@
         pool.close();
         echo.close();
     });
+
+    it("guards against a probe that leaves a connection open after the pool has closed", async () => {
+        const pool = newPool();
+        const probed = pool.probe(AbortSignal.timeout(1_000));
+        pool.close();
+        const openBefore = sockets.size;
+        assert.equal(await probed, true);
+        await sleep(50);
+        const opened = [...sockets].slice(openBefore);
+        assert.equal(opened.filter(socket => !socket.closed && !socket.readableEnded).length, 0);
+    });
+
+    it("guards against a connection for an attempt that has been ended before", async () => {
+        const before = connections;
+        const result = await exchange(newPool(), "late", AbortSignal.abort());
+        assert.equal(result.end, "unsent");
+        await sleep(50);
+        assert.equal(connections, before);
+    });
 });
--- a/gateway/src/attemptLimit.ts
+++ b/gateway/src/attemptLimit.ts
@@ -28,6 +28,9 @@
             }
         }, slowMs);
         signal.addEventListener("abort", this.onAbort);
+        if (signal.aborted) {
+            this.onAbort();
+        }
     }
 
     get signal(): AbortSignal {
--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -101,7 +101,7 @@
         const { loads, warm, limits, directory, feeds } = this.opts;
         directory.noteReport(from, report);
         loads.setPeer(from.hostId, new Map(Object.entries(report.running)));
-        limits.notePeer(`${from.hostId}/${from.incarnation}`, report.admitted);
+        limits.notePeer(from, report.admitted);
         report.warmed.forEach(([key, object]) => warm.noteRemote(key, object));
         for (const [name, revision] of Object.entries(report.revisions)) {
             const feed = feeds.get(name);
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -292,7 +292,13 @@
         metrics.collect("running_requests", "Requests that are running", () => this.listener.running);
         metrics.collect("targets", "Targets that are known", () => this.registry.size);
         metrics.collect("linked_hosts", "Other hosts with a working link", () => this.mesh.peers().length);
-        metrics.collect("store_calls", "Calls to the store since the start", () => this.opts.platform.storeCalls);
+        const { platform } = this.opts;
+        metrics.collect("store_calls", "Calls to the store since the start", () => platform.storeCalls);
+        metrics.collect(
+            "rejected_objects",
+            "Objects of the store that could not be used",
+            () => platform.rejectedObjects,
+        );
         metrics.collect("desired_state_version", "Version in force", () => this.known.stateInForce?.version ?? 0);
     }
 }
--- a/gateway/src/platformAccess.ts
+++ b/gateway/src/platformAccess.ts
@@ -19,5 +19,7 @@
     announce(host: AnnouncedHost): Promise<Result<void, Failure>>;
     /** Calls to the store since the start. */
     readonly storeCalls: number;
+    /** Objects of the store since the start that could not be used. */
+    readonly rejectedObjects: number;
     close(): Promise<void>;
 }
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -5,6 +5,7 @@
 import { Failure } from "@pistachioreel/result-code";
 import { ok } from "neverthrow";
 import { createHash } from "node:crypto";
+import { isServerError } from "./isServerError.js";
 import type { RelayedRequest } from "./relayedRequest.js";
 import type { RelayResult } from "./relayResult.js";
 import { TargetAttempt, type TargetKnowledge } from "./targetAttempt.js";
@@ -31,10 +32,9 @@
 type AttemptEnd = Awaited<ReturnType<TargetAttempt["run"]>>;
 
 /** An idempotent request is tried elsewhere once it has taken so many times the expected time. */
-const SLOW_FACTOR = 4;
+const MOVE_ON_FACTOR = 4;
 const MIN_ATTEMPT_MS = 500;
 const FULL_MS = 60;
-const ERROR_STATUS = 500;
 
 /** Sends requests to targets until one of them answers, and never twice if the request must run once. */
 export class RequestRelay {
@@ -85,7 +85,7 @@
         progress.target = id;
         progress.sends++;
         const canRepeat = request.route.isIdempotent && progress.sends < request.route.maxAttempts;
-        const slowMs = canRepeat ? Math.max(MIN_ATTEMPT_MS, SLOW_FACTOR * choice.expectedMs) : Infinity;
+        const slowMs = canRepeat ? Math.max(MIN_ATTEMPT_MS, MOVE_ON_FACTOR * choice.expectedMs) : Infinity;
         const mayMoveOn = () => this.mayMoveOn(request, progress);
         const end = await attempt.run({ signal, slowMs, mayMoveOn });
         if (end.result.end === "lost" && end.stoppedBy === undefined && await attempt.isTargetGone()) {
@@ -189,7 +189,7 @@
         target: Target,
         { answer }: Extract<ExchangeResult, { end: "answered"; }>,
     ): RelayResult | undefined {
-        if (answer.status >= ERROR_STATUS && request.route.isIdempotent && this.mayRepeat(request, progress)) {
+        if (isServerError(answer.status) && request.route.isIdempotent && this.mayRepeat(request, progress)) {
             progress.mayHaveRun = true;
             progress.failedAnswer = answer;
             this.log("attempt-failed", request, target, String(answer.status));
--- a/gateway/src/targetAttempt.ts
+++ b/gateway/src/targetAttempt.ts
@@ -12,6 +12,7 @@
 import type { AnswerVerdict } from "./answerVerdict.js";
 import { AttemptLimit } from "./attemptLimit.js";
 import type { Dialect } from "./dialect.js";
+import { isServerError } from "./isServerError.js";
 import type { RelayedRequest } from "./relayedRequest.js";
 import type { TargetLinks } from "./targetLinks.js";
 
@@ -48,7 +49,6 @@
     readonly mayMoveOn: () => boolean;
 }
 
-const ERROR_STATUS = 500;
 const PROBE_TIMEOUT_MS = 500;
 /** An attempt that is ended after so many times the expected time says that its target is slow. */
 const SLOW_FACTOR = 2;
@@ -147,7 +147,7 @@
         if (result.end !== "answered" || verdict?.meaning !== "result") {
             return;
         }
-        const isError = result.answer.status >= ERROR_STATUS;
+        const isError = isServerError(result.answer.status);
         health.noteAnswer(target, isError);
         if (!isError && this.hadFreeSlot) {
             const { service, route: { name: route, objectiveMs } } = this.request;
--- a/gateway/src/workspaceLimits.ts
+++ b/gateway/src/workspaceLimits.ts
@@ -1,5 +1,6 @@
 import type { DesiredState, Workspace } from "@pistachioreel/desired-state";
 import { SharedBucket } from "@pistachioreel/limits";
+import type { PeerIdentity } from "@pistachioreel/peering";
 
 interface WorkspaceLimitsOptions {
     /** Hosts that this host is in touch with, itself included, and hosts in all. */
@@ -52,7 +53,7 @@
         return report;
     }
 
-    notePeer(peer: string, report: Readonly<Record<string, readonly [asked: number, taken: number]>>): void {
+    notePeer(peer: PeerIdentity, report: Readonly<Record<string, readonly [asked: number, taken: number]>>): void {
         for (const [name, [asked, taken]] of Object.entries(report)) {
             this.buckets.get(name)?.notePeer(peer, { asked, taken });
         }
--- a/limits/src/sharedBucket.ts
+++ b/limits/src/sharedBucket.ts
@@ -17,6 +17,12 @@
     readonly hosts: number;
 }
 
+/** One run of a host. */
+interface HostRun {
+    readonly hostId: string;
+    readonly incarnation: string;
+}
+
 /** What one host has been asked for and has given since its start. */
 interface BucketUse {
     readonly asked: number;
@@ -46,7 +52,8 @@
     private asked = 0;
     private taken = 0;
     private reported: BucketUse = { asked: 0, taken: 0 };
-    private readonly peers = new Map<string, BucketUse>();
+    /** What each other host has reported last, by its id. */
+    private readonly peers = new Map<string, BucketUse & Pick<HostRun, "incarnation">>();
     private readonly ownDemand: DecayingCount;
     private readonly totalDemand: DecayingCount;
     private readonly part: TokenBucket;
@@ -102,16 +109,12 @@
         return Math.max(commonMs, this.isScarce ? this.part.waitMs : 0);
     }
 
-    /**
-     * Takes what another run of a host reports.
-     *
-     * @param peer Names the run: a restarted host counts from zero again.
-     */
-    notePeer(peer: string, use: BucketUse): void {
-        const before = this.peers.get(peer);
-        this.peers.set(peer, use);
-        // What a host did before it was first heard of belongs to a time that has been accounted for.
-        if (before !== undefined) {
+    /** Takes what another host reports; a restarted one counts from zero again. */
+    notePeer({ hostId, incarnation }: HostRun, use: BucketUse): void {
+        const before = this.peers.get(hostId);
+        this.peers.set(hostId, { ...use, incarnation });
+        // What a run did before it was first heard of belongs to a time that has been accounted for.
+        if (before?.incarnation === incarnation) {
             this.refill();
             this.tokens -= Math.max(0, use.taken - before.taken);
             this.totalDemand.add(Math.max(0, use.asked - before.asked));
--- a/limits/test/sharedBucket.test.ts
+++ b/limits/test/sharedBucket.test.ts
@@ -37,7 +37,9 @@
             const isDue = (clock.now + peer * 10) % reportMs < 10;
             const report = isDue ? bucket.takeReport() : undefined;
             if (report !== undefined && !isCut) {
-                buckets.forEach((other, index) => index === peer || other.notePeer(`h${peer}`, report));
+                buckets.forEach((other, index) =>
+                    index === peer || other.notePeer({ hostId: `h${peer}`, incarnation: "1" }, report)
+                );
             }
         });
     }
--- a/peering/src/webSocketMesh.ts
+++ b/peering/src/webSocketMesh.ts
@@ -1,6 +1,6 @@
 import { Failure } from "@pistachioreel/result-code";
 import { err, type Result } from "neverthrow";
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
 import { WebSocket, WebSocketServer } from "ws";
 import { FrameSocket } from "./frameSocket.js";
@@ -55,7 +55,10 @@
     private server: WebSocketServer | undefined;
     private unproved = 0;
 
-    constructor(private readonly opts: WebSocketMeshOptions) {}
+    constructor(private readonly opts: WebSocketMeshOptions) {
+        // The task of each peer listens to it.
+        setMaxListeners(Infinity, this.stopping.signal);
+    }
 
     /** Opens the listener. Rejects if its address is in use. */
     async start(): Promise<void> {
--- a/peering/test/webSocketMesh.test.ts
+++ b/peering/test/webSocketMesh.test.ts
@@ -1,9 +1,6 @@
+import { freePort, until } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
 import { newIncarnation, WebSocketMesh } from "../src/index.js";
 
 const PATIENCE_MS = 8_000;
@@ -31,7 +28,7 @@
         const first = await startMesh("a", portA);
         const second = await startMesh("b", portB);
         void second.useSeeds([`127.0.0.1:${portB}`, `127.0.0.1:${portA}`]);
-        await until(() => first.peers().length === 1 && second.peers().length === 1);
+        await until(() => first.peers().length === 1 && second.peers().length === 1, PATIENCE_MS);
         assert.equal(second.peers()[0]?.hostId, "a");
     });
 
@@ -40,28 +37,11 @@
         const first = await startMesh("a", portA);
         first.setPeers([{ hostId: "b", address: `127.0.0.1:${portB}` }]);
         const earlier = await startMesh("b", portB);
-        await until(() => first.peers().length === 1);
+        await until(() => first.peers().length === 1, PATIENCE_MS);
         earlier.stop();
-        await until(() => first.peers().length === 0);
+        await until(() => first.peers().length === 0, PATIENCE_MS);
         const incarnation = newIncarnation(Date.now() - HOUR_MS);
         await startMesh("b", portB, incarnation);
-        await until(() => first.peers()[0]?.incarnation === incarnation);
+        await until(() => first.peers()[0]?.incarnation === incarnation, PATIENCE_MS);
     });
 });
-
-async function freePort(): Promise<number> {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-}
-
-async function until(condition: () => boolean): Promise<void> {
-    const endAt = performance.now() + PATIENCE_MS;
-    while (!condition()) {
-        assert.ok(performance.now() < endAt, "the condition did not come true in time");
-        await sleep(20);
-    }
-}
--- a/placement/src/placement.ts
+++ b/placement/src/placement.ts
@@ -49,6 +49,8 @@
 /** Share of the requests for a warm object that go to a cold home which remembers far fewer objects. */
 const MOVE_SHARE = 0.1;
 const MOVE_FACTOR = 2;
+/** A second home takes over from a busy first one. */
+const MAX_HOMES = 2;
 /** A cold home takes over from a busy warm one while less than this share of its slots is taken. */
 const IDLE_SHARE = 0.5;
 const COLD_TARGET_FACTOR = 2;
@@ -72,17 +74,15 @@
 
     choose(request: PlacementRequest): PlacementChoice {
         const allowed = this.allowedTargets(request);
-        const estimate = this.opts.times.estimate(request);
-        const candidates = allowed.filter(target => this.isAvailable(target, request))
-            .map(target => this.assess(target, request, estimate));
-        if (candidates.length === 0) {
-            return { refusal: "noTarget", retryAfterMs: RETRY_AFTER_MS * (1 + this.random()) };
+        const { object } = request;
+        if (!allowed.some(target => this.isAvailable(target, request))) {
+            return this.refuse("noTarget");
         }
-        const chosen = request.object === undefined
-            ? this.cheapest(candidates)
-            : this.chooseForObject(candidates, this.homesOf(request.object, request, allowed), request);
+        const chosen = object === undefined
+            ? this.cheapest(this.assess(allowed, request))
+            : this.chooseForObject(object, allowed, request);
         if (chosen === undefined || chosen.leastMs > request.deadlineAt - this.opts.now()) {
-            return { refusal: "noRoom", retryAfterMs: RETRY_AFTER_MS * (1 + this.random()) };
+            return this.refuse("noRoom");
         }
         const { target, isWarm, expectedMs, baseMs } = chosen;
         return { target, isWarm, expectedMs, baseMs };
@@ -93,14 +93,14 @@
      * multiple of the time, so that spreading an overload would make it larger.
      */
     private chooseForObject(
-        candidates: readonly Candidate[],
-        homes: readonly Target[],
+        object: string,
+        allowed: readonly Target[],
         request: PlacementRequest,
     ): Candidate | undefined {
         const timeLeftMs = request.objectiveAt - this.opts.now();
-        const byRank = homes.flatMap(home => candidates.find(({ target }) => target === home) ?? []);
-        const [home, second] = byRank;
-        const warm = candidates.filter(({ isWarm }) => isWarm);
+        const homes = this.firstAvailable(this.homesOf(object, request, allowed), request);
+        const [home, second] = this.assess(homes, request);
+        const warm = this.assess(allowed.filter(target => this.opts.warm.isWarm(target, object)), request);
         if (warm.length === 0 || home === undefined) {
             return home;
         }
@@ -115,6 +115,10 @@
         return best.load < best.target.slots * MAX_LOAD_SHARE ? best : undefined;
     }
 
+    private refuse(refusal: "noTarget" | "noRoom"): PlacementChoice {
+        return { refusal, retryAfterMs: RETRY_AFTER_MS * (1 + this.random()) };
+    }
+
     /** Moves an object now and then to a home that remembers far fewer, such as a target that has just joined. */
     private shouldMove(from: Target, to: Target): boolean {
         const { warm } = this.opts;
@@ -145,7 +149,25 @@
         return !(registry.isCold(target) || health.isUnproven(target)) || cold.mayUse(target);
     }
 
-    private assess(
+    /** The first targets of a ranking that are available, as many as an object may be handled at. */
+    private firstAvailable(ranked: readonly Target[], request: PlacementRequest): Target[] {
+        const found: Target[] = [];
+        for (const target of ranked) {
+            if (this.isAvailable(target, request) && found.push(target) === MAX_HOMES) {
+                break;
+            }
+        }
+        return found;
+    }
+
+    /** What each available one of the targets would cost. */
+    private assess(targets: readonly Target[], request: PlacementRequest): Candidate[] {
+        const estimate = this.opts.times.estimate(request);
+        return targets.filter(target => this.isAvailable(target, request))
+            .map(target => this.assessOne(target, request, estimate));
+    }
+
+    private assessOne(
         target: Target,
         { object, objectiveMs }: PlacementRequest,
         { warm: warmTime, cold: coldTime, meanMs }: ReturnType<WorkTimes["estimate"]>,
--- a/placement/src/targetLoads.ts
+++ b/placement/src/targetLoads.ts
@@ -27,7 +27,10 @@
 export class TargetLoads {
     private readonly own = new Map<string, number>();
     private readonly reports = new Map<string, KnownReport>();
+    /** What other hosts have running, the oldest first. */
     private readonly peers = new Map<string, PeerLoad>();
+    /** Sum over `peers` by target, as it is asked for with each choice. */
+    private readonly peerTotals = new Map<string, number>();
     private readonly fullUntil = new Map<string, number>();
 
     constructor(private readonly opts: TargetLoadsOptions) {}
@@ -62,7 +65,9 @@
     }
 
     setPeer(hostId: string, running: ReadonlyMap<string, number>): void {
+        this.dropPeer(hostId);
         this.peers.set(hostId, { running, at: this.opts.now() });
+        this.addToTotals(running, 1);
     }
 
     /** Takes note that the target refused a request because it was full. */
@@ -99,10 +104,37 @@
         if (ageMs <= REPORT_FRESH_MS) {
             return reported;
         }
-        let counted = 0;
-        for (const { running, at } of this.peers.values()) {
-            counted += now - at <= PEER_MAX_AGE_MS ? running.get(targetId) ?? 0 : 0;
-        }
+        this.dropOldPeers(now);
+        const counted = this.peerTotals.get(targetId) ?? 0;
         return ageMs <= REPORT_MAX_AGE_MS ? (counted + reported) / 2 : counted;
     }
+
+    private dropOldPeers(now: number): void {
+        for (const [hostId, { at }] of this.peers) {
+            if (now - at <= PEER_MAX_AGE_MS) {
+                return;
+            }
+            this.dropPeer(hostId);
+        }
+    }
+
+    private dropPeer(hostId: string): void {
+        const known = this.peers.get(hostId);
+        if (known !== undefined) {
+            this.peers.delete(hostId);
+            this.addToTotals(known.running, -1);
+        }
+    }
+
+    private addToTotals(running: ReadonlyMap<string, number>, sign: 1 | -1): void {
+        for (const [targetId, count] of running) {
+            const total = (this.peerTotals.get(targetId) ?? 0) + sign * count;
+            if (total === 0) {
+                this.peerTotals.delete(targetId);
+            }
+            else {
+                this.peerTotals.set(targetId, total);
+            }
+        }
+    }
 }
--- a/platform-store/src/httpObjectStore.ts
+++ b/platform-store/src/httpObjectStore.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { CallCount } from "./callCount.js";
+import { decodeAnswer } from "./decodeAnswer.js";
 import { type HostList, type ListedHost, listedHostSchema } from "./hostList.js";
 import type { ObjectStore, StoreChange, StoredObject, WriteCondition } from "./objectStore.js";
 import { StoreConnection } from "./storeConnection.js";
@@ -111,15 +112,7 @@
     ): Promise<Result<z.output<S>, Failure>> {
         const answer = await this.call({ method: "GET", path }, timeoutMs);
         return answer.andThen(({ status, text }): Result<z.output<S>, Failure> => {
-            if (status !== 200) {
-                return err(rejected(status));
-            }
-            try {
-                return ok(schema.parse(JSON.parse(text)));
-            }
-            catch (cause) {
-                return err(new Failure("storeRejected", "the answer of the store has an unknown form", { cause }));
-            }
+            return status === 200 ? decodeAnswer(text, schema) : err(rejected(status));
         });
     }
 
--- a/platform-store/src/index.ts
+++ b/platform-store/src/index.ts
@@ -1,4 +1,5 @@
 export type { CallCount } from "./callCount.js";
+export { decodeAnswer } from "./decodeAnswer.js";
 export { type HostList, type ListedHost, listedHostSchema } from "./hostList.js";
 export { HttpObjectStore } from "./httpObjectStore.js";
 export type { FeedEntry, FeedPage, ObjectFeed } from "./objectFeed.js";
--- /dev/null
+++ b/testing/src/until.ts
@@ -0,0 +1,18 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
+const POLL_MS = 20;
+
+/** Waits until the condition is true. Rejects if it is not within `patienceMs`. */
+export async function until(
+    condition: () => boolean | Promise<boolean>,
+    patienceMs: number,
+    description = "the condition",
+): Promise<void> {
+    const endAt = performance.now() + patienceMs;
+    while (!await condition()) {
+        if (performance.now() > endAt) {
+            throw new Error(`${description} did not come true in ${patienceMs} ms`);
+        }
+        await sleep(POLL_MS);
+    }
+}
