--- a/gateway/test/meshStandIn.ts
+++ b/gateway/test/meshStandIn.ts
@@ -1,4 +1,4 @@
-import type { HeartbeatPart, PeerHandler, PeerIdentity, PeerMesh, PeerMessage } from "@pistachioreel/peering";
+import type { PeerHandler, PeerIdentity, PeerMesh, PeerMessage } from "@pistachioreel/peering";
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
 
@@ -56,7 +56,7 @@
         this.handlers.set(type, handler);
     }
 
-    addHeartbeatPart(_name: string, _part: HeartbeatPart): void {}
+    addHeartbeatPart(): void {}
 
     sendHeartbeats(): void {}
 
