--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -108,7 +108,7 @@
             release({ end: result.end, latencyMs: this.opts.now() - startedAt });
             this.recordResult(request, target, result);
             if (await isTargetLost(result, this.opts.pools.poolOf(target), this.otherPools(service, target))) {
-                suspects.recordLoss(suspectDigest(request, body), target.id, admission.value);
+                suspects.recordLoss(suspectDigest(request, body), target.id, admission.value, startedAt);
             }
             else {
                 endTurn(result.end === "complete");
--- a/delivery/src/crashSuspects.ts
+++ b/delivery/src/crashSuspects.ts
@@ -4,6 +4,7 @@
 import { createHash } from "node:crypto";
 import type { DeliveryObserver } from "./deliveryObserver.js";
 import { type SuspectMessage, suspectMessageSchema } from "./suspectMessage.js";
+import { TargetLosses } from "./targetLosses.js";
 import { TurnQueue } from "./turnQueue.js";
 
 interface CrashSuspectsOptions {
@@ -50,8 +51,10 @@
  */
 export class CrashSuspects {
     private readonly suspects = new Map<string, Suspect>();
+    private readonly losses: TargetLosses;
 
     constructor(private readonly opts: CrashSuspectsOptions) {
+        this.losses = new TargetLosses({ now: opts.now });
         (opts.broadcast ?? opts.mesh)?.registerHandler("suspect", (_from, message) => this.handleMessage(message));
         opts.mesh?.registerHandler(TURN_MESSAGE_TYPE, (_from, message) => this.handleTurnRequest(message));
     }
@@ -85,8 +88,21 @@
         return ok("free");
     }
 
-    /** Records that a target was lost while it ran the request. */
-    recordLoss(digest: string, targetId: string, admission: Admission): void {
+    /**
+     * Records that a target was lost while it ran the request. It is no evidence against the request if the target had
+     * been lost to another one before the attempt.
+     *
+     * @param startedAt Monotonic time in ms at which the attempt started.
+     */
+    recordLoss(digest: string, targetId: string, admission: Admission, startedAt: number): void {
+        if (this.losses.wasLostBefore(targetId, digest, startedAt)) {
+            this.opts.observe("suspect-loss-ignored", { fields: { target: targetId } });
+            if (admission === "turn") {
+                this.endTurn(digest, false);
+            }
+            return;
+        }
+        this.losses.record(targetId, digest);
         const suspect = this.findOrAdd(digest);
         suspect.targets.add(targetId);
         const isRefused = suspect.isRefused ||
@@ -132,7 +148,12 @@
             return;
         }
         const suspect = this.findOrAdd(digest);
-        targets.forEach(target => suspect.targets.add(target));
+        for (const target of targets) {
+            if (!suspect.targets.has(target)) {
+                this.losses.record(target, digest);
+            }
+            suspect.targets.add(target);
+        }
         if (state === "refused") {
             suspect.isRefused = true;
             suspect.turns.releaseAll();
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -102,7 +102,7 @@
         const shouldFailOver = () => this.shouldFailOver(request, progress);
         const end = await attempt.run({ signal, slowMs, shouldFailOver });
         if (end.result.end === "lost" && end.cancelledBy === undefined && await attempt.isTargetGone()) {
-            suspects.recordLoss(digest ?? digestOf(request), id, admission.value);
+            suspects.recordLoss(digest ?? digestOf(request), id, admission.value, attempt.startedAt);
         }
         else {
             this.endTurn(digest, admission.value, end.result.end === "answered");
--- a/gateway/src/targetAttempt.ts
+++ b/gateway/src/targetAttempt.ts
@@ -57,7 +57,8 @@
 /** One attempt at running a request on a target. It counts as load while it runs; its outcome informs later choices. */
 export class TargetAttempt {
     private readonly hadFreeSlot: boolean;
-    private readonly startedAt: number;
+    /** Monotonic time in ms. */
+    readonly startedAt: number;
     private readonly releaseLoad: () => void;
 
     constructor(
