Bound responses without an end, and register once

Cause: the reader of responses limited only the request's own body. Change: at most 1 MB of an exchange may be anything but its body, and bodies above 256 KB share 15 % of the process memory. A response beyond that counts as lost and its connection is closed. Ruled out: heads and bytes that are no response ended within 64 KB before too. A host that starts again wrote its entry in the store again with two calls; it now reads the list and writes only what has changed (gateway/test/hostRegistration.test.ts).

--- a/forwarding/src/connectionPool.ts
+++ b/forwarding/src/connectionPool.ts
@@ -1,5 +1,6 @@
 import type { ExchangeResult } from "./exchangeResult.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
+import type { ResponseMemory } from "./responseMemory.js";
 import { TargetConnection } from "./targetConnection.js";
 import type { TargetRequest } from "./targetRequest.js";
 
@@ -7,6 +8,8 @@
     readonly address: string;
     readonly localAddress?: string;
     readonly matcher: ResponseMatcher;
+    /** Memory that the response bodies of all pools share. */
+    readonly memory?: ResponseMemory;
     readonly connectTimeoutMs?: number;
     /** Monotonic time in ms. */
     readonly now: () => number;
@@ -101,8 +104,9 @@
         if (signal.aborted) {
             return "cancelled";
         }
-        const { address, localAddress, matcher, now, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.opts;
+        const { address, localAddress, matcher, memory, now, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } =
+            this.opts;
         this.opts.onOpened?.();
-        return TargetConnection.open({ address, localAddress, matcher, now, connectTimeoutMs }, signal);
+        return TargetConnection.open({ address, localAddress, matcher, memory, now, connectTimeoutMs }, signal);
     }
 }
--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -1,6 +1,7 @@
 import { HTTPParser } from "http-parser-js";
 import { headerValue } from "./headerValue.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
+import type { ResponseMemory } from "./responseMemory.js";
 import type { TargetResponse } from "./targetResponse.js";
 
 interface ResponseReaderOptions {
@@ -9,8 +10,16 @@
     readonly matcher: ResponseMatcher;
     /** Maximum length of the response body. */
     readonly maxBytes: number;
+    /** Memory that all response bodies share. */
+    readonly memory?: ResponseMemory;
 }
 
+/**
+ * Most bytes of one exchange that are not part of its body: heads, framing of chunks, trailers and responses to other
+ * requests. More of them are no response, whatever follows.
+ */
+const MAX_OVERHEAD_BYTES = 1024 * 1024;
+
 /** Position of the parser in its current chunk; the type declarations of the library lack it. */
 interface ParserPosition {
     readonly offset: number;
@@ -32,6 +41,7 @@
     private headers: string[] = [];
     private chunks: Buffer[] = [];
     private bodyLength = 0;
+    private receivedBytes = 0;
     private messageKind: "own" | "stray" | "interim" | undefined;
     private keepAlive = false;
     private isFramed = false;
@@ -64,12 +74,21 @@
     /** Parses the next bytes of the connection. */
     read(chunk: Buffer): ReadState {
         const parsed = this.parser.execute(chunk);
-        if (this.state === "reading" && parsed instanceof Error) {
+        this.receivedBytes += chunk.length;
+        const hasExcess = this.receivedBytes - this.bodyLength > MAX_OVERHEAD_BYTES;
+        if (this.state === "reading" && (parsed instanceof Error || hasExcess)) {
             this.state = "invalid";
         }
         return this.state;
     }
 
+    /** Releases the memory of the body. To be called once the response has been used or is no longer wanted. */
+    dispose(): void {
+        this.opts.memory?.release(this.bodyLength);
+        this.bodyLength = 0;
+        this.chunks = [];
+    }
+
     /** Handles an orderly end of the connection, which completes a response without a length. */
     finish(): ReadState {
         if (this.state === "reading") {
@@ -109,11 +128,13 @@
         if (this.state !== "reading" || this.messageKind !== "own") {
             return;
         }
-        this.bodyLength += chunk.length;
-        if (this.bodyLength > this.opts.maxBytes) {
+        const { maxBytes, memory } = this.opts;
+        const length = this.bodyLength + chunk.length;
+        if (length > maxBytes || memory?.tryGrow(length, chunk.length) === false) {
             this.state = "invalid";
             return;
         }
+        this.bodyLength = length;
         this.chunks.push(chunk);
     }
 
--- a/forwarding/src/targetConnection.ts
+++ b/forwarding/src/targetConnection.ts
@@ -4,6 +4,7 @@
 import type { ExchangeResult } from "./exchangeResult.js";
 import { headerValue } from "./headerValue.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
+import type { ResponseMemory } from "./responseMemory.js";
 import { ResponseReader } from "./responseReader.js";
 import type { TargetRequest } from "./targetRequest.js";
 
@@ -14,6 +15,8 @@
     readonly localAddress?: string;
     readonly connectTimeoutMs: number;
     readonly matcher: ResponseMatcher;
+    /** Memory that all response bodies share; without it, only each body is limited. */
+    readonly memory?: ResponseMemory;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -90,17 +93,19 @@
             return Promise.resolve({ end: "unsent", reason: signal.aborted ? "cancelled" : "connection closed" });
         }
         return new Promise(resolve => {
-            const { matcher } = this.opts;
+            const { matcher, memory } = this.opts;
             const reader = new ResponseReader({
                 requestId: request.id,
                 method: request.method,
                 matcher,
                 maxBytes: MAX_RESPONSE_BYTES,
+                memory,
             });
             const onAbort = () => this.fail("cancelled");
             const finish = (result: ExchangeResult) => {
                 signal.removeEventListener("abort", onAbort);
                 this.running = undefined;
+                reader.dispose();
                 resolve(result);
             };
             this.running = { reader, finish };
--- /dev/null
+++ b/forwarding/test/endlessResponses.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ResponseMemory } from "../src/responseMemory.js";
+import { ResponseReader } from "../src/responseReader.js";
+
+const MB = 1024 * 1024;
+const CHUNK_BYTES = 64 * 1024;
+const MAX_BODY_BYTES = 32 * MB;
+/** Bytes that a reader may take in before it gives up on what is no response. */
+const MAX_READ_BYTES = 2 * MB;
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+function createReader({ kind = "own" as "own" | "stray", memory = new ResponseMemory({ maxBytes: 64 * MB }) } = {}) {
+    const matcher = { matchResponse: () => kind };
+    return new ResponseReader({ requestId: "1", method: "GET", matcher, maxBytes: MAX_BODY_BYTES, memory });
+}
+
+/** Sends a head and then the same bytes again and again. Returns the bytes read until the reader gave up. */
+function bytesUntilInvalid(reader: ResponseReader, head: string, repeated: string, limit = 4 * MAX_BODY_BYTES): number {
+    const chunk = Buffer.from(repeated.repeat(Math.ceil(CHUNK_BYTES / repeated.length)));
+    let state = reader.read(Buffer.from(head));
+    let bytes = 0;
+    while (state === "reading" && bytes < limit) {
+        state = reader.read(chunk);
+        bytes += chunk.length;
+    }
+    assert.equal(state, "invalid");
+    return bytes;
+}
+
+describe("responses without an end", () => {
+    const cases = {
+        "a header line": ["HTTP/1.1 200 OK\r\nX: ", "a"],
+        "header lines": ["HTTP/1.1 200 OK\r\n", "X-A: b\r\n"],
+        "bytes that are no response": ["", "z"],
+        "empty lines": ["", "\r\n"],
+        "interim responses": ["", "HTTP/1.1 100 Continue\r\n\r\n"],
+        "the extension of a chunk": [`${CHUNKED_HEAD}5;`, "e"],
+        "trailers": [`${CHUNKED_HEAD}0\r\n`, "X-T: v\r\n"],
+        "chunks of one byte": [CHUNKED_HEAD, "1\r\na\r\n"],
+    } as const;
+    for (const [name, [head, repeated]] of Object.entries(cases)) {
+        it(`are given up early that consist of ${name}, which would use up memory and processor time`, () => {
+            const bytes = bytesUntilInvalid(createReader(), head, repeated);
+            assert.ok(bytes <= MAX_READ_BYTES, `${bytes} bytes`);
+        });
+    }
+
+    it("are given up early if they answer another request", () => {
+        const head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+        assert.ok(bytesUntilInvalid(createReader({ kind: "stray" }), head, "b") <= MAX_READ_BYTES);
+    });
+
+    it("share a limit of memory, which leaves room for usual responses and is free again afterwards", () => {
+        const memory = new ResponseMemory({ maxBytes: 8 * MB });
+        const head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+        const endless = Array.from({ length: 4 }, () => createReader({ memory }));
+        const read = endless.reduce((sum, reader) => sum + bytesUntilInvalid(reader, head, "b"), 0);
+        assert.ok(read <= 8 * MB + 4 * 0.5 * MB, `${read} bytes`);
+        const usual = createReader({ memory });
+        assert.equal(usual.read(Buffer.from(`HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole`)), "complete");
+        endless.forEach(reader => reader.dispose());
+        const large = createReader({ memory });
+        large.read(Buffer.from(`HTTP/1.1 200 OK\r\nContent-Length: ${4 * MB}\r\n\r\n`));
+        assert.equal(large.read(Buffer.alloc(4 * MB)), "complete");
+    });
+});
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import { CrashSuspects, RetryBudget } from "@pistachioreel/delivery";
 import type { DesiredState } from "@pistachioreel/desired-state";
 import { FleetBroadcast, type FleetReport } from "@pistachioreel/fleet";
+import { ResponseMemory } from "@pistachioreel/forwarding";
 import type { Logger } from "@pistachioreel/logging";
 import { newIncarnation, type PeerIdentity, WebSocketMesh } from "@pistachioreel/peering";
 import {
@@ -21,6 +22,7 @@
 import { FleetLinks } from "./fleetLinks.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import { HostDirectory } from "./hostDirectory.js";
+import { HostRegistration } from "./hostRegistration.js";
 import type { PlatformAccess } from "./platformAccess.js";
 import { PlatformState } from "./platformState.js";
 import { RequestListener } from "./requestListener.js";
@@ -34,6 +36,8 @@
 const BYTES_PER_MB = 1024 * 1024;
 /** Share of the process memory that buffered request bodies may use. */
 const BODY_MEMORY_SHARE = 0.25;
+/** Share of the process memory that large response bodies may use while they are being read. */
+const RESPONSE_MEMORY_SHARE = 0.15;
 /** Callers may cache a response of the directory for this time, or for less if the settings say so. */
 const MAX_LOOKUP_LIFETIME_MS = 2_000;
 /** Share of the stop timeout in which new requests of callers are still served. */
@@ -47,7 +51,6 @@
 const REGISTRATION_MS = 2_000;
 /** At the first start of the fleet, seeds are used after this time, if the store has not listed the other hosts. */
 const FIRST_START_SEED_DELAY_MS = 4_000;
-const MIN_ANNOUNCE_RETRY_MS = 500;
 const MS_PER_SECOND = 1_000;
 /**
  * Share of the fleet's retry budget that is allocated to hosts. Their budgets add up; the rest is a margin for hosts
@@ -112,6 +115,7 @@
         this.connectionPools = new TargetConnectionPools({
             localAddress,
             dialect,
+            memory: new ResponseMemory({ maxBytes: settings.memoryMb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE }),
             now: monotonicNow,
             onOpened: () => metrics.connections.inc(),
         });
@@ -183,7 +187,16 @@
         void this.links.run();
         void this.mesh.connectToSeeds(seeds, isFirstStart ? { startDelayMs: FIRST_START_SEED_DELAY_MS } : {});
         void this.exchange.run();
-        void this.announce();
+        const { peers, availabilityZone, region, processors, processorShare } = this.opts.settings;
+        const cores = processors * processorShare;
+        void new HostRegistration({
+            host: { hostId, peers, callers, availabilityZone, region, cores },
+            platform: this.opts.platform,
+            platformState: this.platformState,
+            isFirstStart,
+            logger: this.opts.logger,
+            signal: this.stopController.signal,
+        }).run();
         this.opts.logger.info({ event: "host-started", fields: { host: hostId, callers } });
     }
 
@@ -338,22 +351,6 @@
         this.limits.resize();
     }
 
-    /** Registers this host in the store, and retries until that has succeeded. */
-    private async announce(): Promise<void> {
-        const { settings, platform, logger } = this.opts;
-        const { hostId, peers, callers, availabilityZone, region, processors, processorShare } = settings;
-        const cores = processors * processorShare;
-        const { signal } = this.stopController;
-        while (!signal.aborted) {
-            const announced = await platform.announce({ hostId, peers, callers, availabilityZone, region, cores });
-            if (announced.isOk()) {
-                return;
-            }
-            logger.warn({ event: "announce-failed", fields: { reason: announced.error.message } });
-            await sleep(MIN_ANNOUNCE_RETRY_MS * (1 + Math.random()), undefined, { signal }).catch(() => undefined);
-        }
-    }
-
     /** Requests per second that all hosts together may send to one cold target of the service. */
     private coldLimitOf(service: string): number {
         const { coldFactor, coldSlack } = this.opts.settings;
--- a/gateway/src/platformState.ts
+++ b/gateway/src/platformState.ts
@@ -3,6 +3,7 @@
 import { type Target, type TargetRegistry, targetSchema } from "@pistachioreel/placement";
 import type { FeedEntry, ObjectFeed } from "@pistachioreel/platform-store";
 import { setTimeout as sleep } from "node:timers/promises";
+import { isDeepStrictEqual } from "node:util";
 import { type AnnouncedHost, announcedHostSchema } from "./announcedHost.js";
 import { createReplicatedFeed } from "./createReplicatedFeed.js";
 import { DeferredRemovals } from "./deferredRemovals.js";
@@ -100,6 +101,11 @@
         return this.hosts.hasSynced;
     }
 
+    /** Whether the host is registered with the same content, so that it need not be written again. */
+    hasRegistered(host: AnnouncedHost): boolean {
+        return this.registeredHosts.some(registered => isDeepStrictEqual(registered, host));
+    }
+
     /** Registered hosts. */
     get registeredHosts(): readonly AnnouncedHost[] {
         return this.hosts.liveEntries.map(({ value }) => value);
--- a/gateway/src/targetConnectionPools.ts
+++ b/gateway/src/targetConnectionPools.ts
@@ -1,10 +1,12 @@
-import { ConnectionPool } from "@pistachioreel/forwarding";
+import { ConnectionPool, type ResponseMemory } from "@pistachioreel/forwarding";
 import { type Target, targetKey } from "@pistachioreel/placement";
 import type { Dialect } from "./dialect.js";
 
 interface TargetConnectionPoolsOptions {
     readonly localAddress: string;
     readonly dialect: Dialect;
+    /** Memory for response bodies that are being read. */
+    readonly memory: ResponseMemory;
     /** Monotonic time in ms. */
     readonly now: () => number;
     /** Called for each attempt to open a connection. */
@@ -21,8 +23,8 @@
         const key = poolKey(target);
         let pool = this.pools.get(key);
         if (pool === undefined) {
-            const { localAddress, dialect: matcher, now, onOpened } = this.opts;
-            pool = new ConnectionPool({ address: target.address, localAddress, matcher, now, onOpened });
+            const { localAddress, dialect: matcher, memory, now, onOpened } = this.opts;
+            pool = new ConnectionPool({ address: target.address, localAddress, matcher, memory, now, onOpened });
             this.pools.set(key, pool);
         }
         return pool;
