Describe the exchange through relays, and log when a host's role in it changes

Cause: logs could not tell whether a host gets changes from the store or from a relay, which decides where to look for one that came late. Sums over the own zone were computed once for each link to another zone; now once for all.

--- a/fleet/src/fleetView.ts
+++ b/fleet/src/fleetView.ts
@@ -56,6 +56,8 @@
     private readonly usedSources = new Map<string, Readonly<Record<string, number>>>();
     private own: OwnState = { state: "starting", callers: "", running: {}, admitted: {} };
     private isRelay = false;
+    /** Sum over the own zone, the same for all other zones; `undefined` once a part of it has changed. */
+    private zoneSum: Summary | undefined;
     private lastZones: { readonly zones: ReadonlyMap<string, ReadyZone>; readonly at: number; } | undefined;
 
     constructor(private readonly opts: FleetViewOptions) {}
@@ -71,6 +73,7 @@
     /** Sets the state of this host to report next. */
     setOwn(own: OwnState): void {
         this.own = own;
+        this.zoneSum = undefined;
         this.zoneUsage.add(OWN_SOURCE, this.baselines.increases(OWN_SOURCE, OWN_SOURCE, own.admitted));
     }
 
@@ -81,6 +84,7 @@
         const readyZones = previous?.from.incarnation === incarnation ? previous.readyZones : new Map();
         Object.entries(report.summary?.readyHosts ?? {}).forEach(([zone, ready]) => readyZones.set(zone, ready));
         this.reports.set(hostId, { from, report, readyZones, receivedAt: this.opts.now() });
+        this.zoneSum = undefined;
         const ownIncreases = this.baselines.increases(hostId, incarnation, report.admitted);
         const summaryIncreases = this.baselines.increases(
             `${hostId} summary`,
@@ -98,6 +102,7 @@
             this.lastZones = { zones: lost.readyZones, at: this.opts.now() };
         }
         this.reports.delete(hostId);
+        this.zoneSum = undefined;
         this.updateSources();
     }
 
@@ -131,7 +136,7 @@
     /** The complete summary for a peer; `undefined` if this host has none for it. */
     summaryFor({ hostId, availabilityZone }: PeerIdentity): Summary | undefined {
         return availabilityZone !== this.opts.availabilityZone
-            ? this.zoneSummary()
+            ? this.zoneSum ??= this.zoneSummary()
             : this.isRelay
             ? this.fleetSummary(hostId)
             : undefined;
--- a/gateway/src/fleetLinks.ts
+++ b/gateway/src/fleetLinks.ts
@@ -1,6 +1,8 @@
 import { FleetView, type FleetViewObserver, RelayTopology } from "@pistachioreel/fleet";
+import type { Logger } from "@pistachioreel/logging";
 import type { WebSocketMesh } from "@pistachioreel/peering";
 import { setTimeout as sleep } from "node:timers/promises";
+import { isDeepStrictEqual } from "node:util";
 import type { AnnouncedHost } from "./announcedHost.js";
 import type { StoreGate } from "./storeGate.js";
 
@@ -19,6 +21,7 @@
     readonly lagMs: () => number;
     /** Monotonic time in ms. */
     readonly now: () => number;
+    readonly logger: Logger;
     readonly signal: AbortSignal;
 }
 
@@ -42,6 +45,7 @@
     private hasRole = false;
     private relay = false;
     private lastLinkedAt: number;
+    private loggedRole: { readonly relay: boolean; readonly followsStore: boolean; } | undefined;
 
     constructor(private readonly opts: FleetLinksOptions) {
         const { hostId, availabilityZone, region, mesh, observer, now } = opts;
@@ -118,6 +122,16 @@
             this.lastLinkedAt = Math.max(this.lastLinkedAt, now());
         }
         gate.set(this.shouldFollowStore);
+        this.logRole();
+    }
+
+    private logRole(): void {
+        const { gate, logger } = this.opts;
+        const role = { relay: this.relay, followsStore: gate.isOpen };
+        if (this.hasRole && !isDeepStrictEqual(role, this.loggedRole)) {
+            this.loggedRole = role;
+            logger.info({ event: "fleet-role-changed", fields: role });
+        }
     }
 
     /** Monotonic time in ms at which the store recovered, as the relay reports it; `undefined` if that is not known. */
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -293,6 +293,7 @@
             },
             knowsHosts: () => this.platformState.knowsHosts,
             lagMs: () => this.replication.lagMs,
+            logger: this.opts.logger,
             now: monotonicNow,
             signal: this.stopController.signal,
         });
@@ -376,6 +377,11 @@
         const { metrics } = this;
         metrics.addGauge("running_requests", "Requests that are running", () => this.listener.running);
         metrics.addGauge("targets", "Targets that are known", () => this.registry.size);
+        metrics.addGauge(
+            "known_hosts",
+            "Hosts whose requests are known, this one included",
+            () => this.links.view.hostCount,
+        );
         metrics.addGauge("linked_hosts", "Other hosts with a working link", () => this.mesh.peers().length);
         const { platform } = this.opts;
         metrics.addGauge("store_calls", "Calls to the store since the start", () => platform.storeCalls);
--- a/gateway/test/fleetLinks.test.ts
+++ b/gateway/test/fleetLinks.test.ts
@@ -1,3 +1,4 @@
+import { Logger } from "@pistachioreel/logging";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FleetLinks } from "../src/fleetLinks.js";
@@ -22,6 +23,7 @@
         knowsHosts: () => true,
         lagMs,
         now: () => clock.now,
+        logger: new Logger("links-test", { write: () => undefined }),
         signal: new AbortController().signal,
     });
     const update = () =>
