Close the link, not the process, when the handler of a peer's heartbeat fails

Cause: an error thrown while a heartbeat was handled rejected the task of the link, which nothing awaited, and ended the process; a failing message handler was swallowed without a log line. Change: the failure is logged as peer-message-failed; after a heartbeat the link starts anew. Test that fails first: peering/test/webSocketMesh.test.ts.

--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -267,7 +267,7 @@
         });
     }
 
-    private handleLinkEvent(event: "peer-linked" | "peer-lost" | "peer-rejected", hostId: string): void {
+    private handleLinkEvent(event: string, hostId: string): void {
         if (event === "peer-linked") {
             this.exchange.handleLinked(hostId);
         }
--- a/peering/src/peerLink.ts
+++ b/peering/src/peerLink.ts
@@ -11,6 +11,8 @@
     readonly socket: FrameSocket;
     readonly handlers: ReadonlyMap<string, PeerHandler>;
     readonly parts: ReadonlyMap<string, HeartbeatPart>;
+    /** Called when the handler of a message, or of a part of a heartbeat, has failed. */
+    readonly onFailure?: (type: string, cause: unknown) => void;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -142,7 +144,9 @@
             }
             switch (frame[0]) {
                 case "heartbeat":
-                    this.handleHeartbeat(frame[1], frame[2], frame[3]);
+                    if (!this.handleHeartbeat(frame[1], frame[2], frame[3])) {
+                        return err(new Failure("frameInvalid"));
+                    }
                     break;
                 case "message":
                     void this.callHandler(frame[1]);
@@ -160,16 +164,24 @@
         }
     }
 
-    private handleHeartbeat(sequence: number, acknowledged: number, payload: Record<string, unknown>): void {
+    /** Returns whether all parts could be handled; if not, state may be half applied, and the link has to start anew. */
+    private handleHeartbeat(sequence: number, acknowledged: number, payload: Record<string, unknown>): boolean {
         this.lastReceivedSequence = Math.max(this.lastReceivedSequence, sequence);
         const newest = this.unacknowledged.findLast(sent => sent.sequence <= acknowledged);
         this.unacknowledged = this.unacknowledged.filter(sent => sent.sequence > acknowledged);
         this.probedAt = newest?.sentAt ?? this.probedAt;
         for (const [name, part] of this.opts.parts) {
-            if (name in payload) {
-                part.receive(this.peer, payload[name], this.probedAt);
+            try {
+                if (name in payload) {
+                    part.receive(this.peer, payload[name], this.probedAt);
+                }
+            }
+            catch (cause) {
+                this.opts.onFailure?.(name, cause);
+                return false;
             }
         }
+        return true;
     }
 
     private async handleRequest(id: number, message: PeerMessage): Promise<void> {
@@ -183,7 +195,8 @@
         try {
             return await this.opts.handlers.get(message.type)?.(this.peer, message) ?? undefined;
         }
-        catch {
+        catch (cause) {
+            this.opts.onFailure?.(message.type, cause);
             return undefined;
         }
         finally {
--- a/peering/src/webSocketMesh.ts
+++ b/peering/src/webSocketMesh.ts
@@ -20,6 +20,8 @@
     readonly isOnlyOpener?: boolean;
 }
 
+type MeshEvent = "peer-linked" | "peer-lost" | "peer-rejected" | "peer-message-failed";
+
 interface WebSocketMeshOptions {
     readonly identity: PeerIdentity;
     readonly address: string;
@@ -30,8 +32,8 @@
     readonly now: () => number;
     /** Whether links that this host has opened are closed when their host is no longer listed; `false` by default. */
     readonly closesUnlistedLinks?: boolean;
-    /** Called when a link has opened, closed or been rejected. */
-    readonly onEvent?: (event: "peer-linked" | "peer-lost" | "peer-rejected", fields: Record<string, string>) => void;
+    /** Called when a link has opened, closed or been rejected, or when the handler of a peer's message has failed. */
+    readonly onEvent?: (event: MeshEvent, fields: Record<string, string>) => void;
 }
 
 /** A frame can carry a whole object of the store, of at most 1 MB. */
@@ -257,7 +259,9 @@
         }
         const { handlers, parts } = this;
         const peer = authenticated.value;
-        const link = new PeerLink({ peer, side, socket: frameSocket, handlers, parts, now });
+        const onFailure = (type: string, cause: unknown) =>
+            this.opts.onEvent?.("peer-message-failed", { peer: peer.hostId, type, reason: String(cause) });
+        const link = new PeerLink({ peer, side, socket: frameSocket, handlers, parts, onFailure, now });
         await this.serve(link);
         return true;
     }
--- a/peering/test/webSocketMesh.test.ts
+++ b/peering/test/webSocketMesh.test.ts
@@ -10,6 +10,8 @@
     const meshes: WebSocketMesh[] = [];
     afterEach(() => meshes.splice(0).forEach(mesh => mesh.stop()));
 
+    const events: string[] = [];
+
     async function startMesh(hostId: string, port: number, incarnation = newIncarnation()): Promise<WebSocketMesh> {
         const mesh = new WebSocketMesh({
             identity: { hostId, incarnation, availabilityZone: "z-a", region: "north" },
@@ -17,6 +19,7 @@
             port,
             secrets: ["secret of the test"],
             now: () => performance.now(),
+            onEvent: event => events.push(event),
         });
         await mesh.start();
         meshes.push(mesh);
@@ -44,4 +47,23 @@
         await startMesh("b", portB, incarnation);
         await waitUntil(() => first.peers()[0]?.incarnation === incarnation, LINK_TIMEOUT_MS);
     });
+
+    it("survives a handler that fails at a message or a heartbeat of a peer, which would end the process", async () => {
+        const [portA, portB] = [await getFreePort(), await getFreePort()];
+        const first = await startMesh("a", portA);
+        const second = await startMesh("b", portB);
+        const fail = () => {
+            throw new Error("of the test");
+        };
+        first.registerHandler("failing", fail);
+        first.addHeartbeatPart("failing", { payload: () => undefined, receive: fail });
+        second.setPeers([{ hostId: "a", address: `127.0.0.1:${portA}`, isOnlyOpener: true }]);
+        await waitUntil(() => first.peers().length === 1, LINK_TIMEOUT_MS);
+        second.send("a", { type: "failing" });
+        await waitUntil(() => events.includes("peer-message-failed"), LINK_TIMEOUT_MS);
+        second.addHeartbeatPart("failing", { payload: () => 1, receive: () => undefined });
+        second.sendHeartbeats();
+        await waitUntil(() => events.includes("peer-lost"), LINK_TIMEOUT_MS);
+        await waitUntil(() => first.peers().length === 1, LINK_TIMEOUT_MS);
+    });
 });
