Judge a lost target by when it was lost, not by when the probe ended

Cause: copies of one frequent request were lost on several targets at once; a retry in its turn reached one of these, and the record of its loss came later than the retry's start, as each record waits for a probe of the target. Change: a loss bears the time at which its attempt ended; a target lost before the attempt, to this request or another one, is no evidence. Test that fails first: delivery/test/suspectEvidence.test.ts.

--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -105,10 +105,11 @@
                 );
             }
             const result = await this.attempt(request, body, target);
-            release({ end: result.end, latencyMs: this.opts.now() - startedAt });
+            const endedAt = this.opts.now();
+            release({ end: result.end, latencyMs: endedAt - startedAt });
             this.recordResult(request, target, result);
             if (await isTargetLost(result, this.opts.pools.poolOf(target), this.otherPools(service, target))) {
-                suspects.recordLoss(suspectDigest(request, body), target.id, admission.value, startedAt);
+                suspects.recordLoss(suspectDigest(request, body), target.id, admission.value, { startedAt, endedAt });
             }
             else {
                 endTurn(result.end === "complete");
--- a/delivery/src/crashSuspects.ts
+++ b/delivery/src/crashSuspects.ts
@@ -26,6 +26,11 @@
     coordinators(): readonly string[];
 }
 
+interface AttemptTimes {
+    readonly startedAt: number;
+    readonly endedAt: number;
+}
+
 interface Suspect {
     /** Ids of the targets that were lost while they ran the request. */
     readonly targets: Set<string>;
@@ -90,25 +95,26 @@
 
     /**
      * Records that a target was lost while it ran the request. It is no evidence against the request if the target had
-     * been lost to another one before the attempt.
+     * been lost before the attempt, by this request or another one.
      *
-     * @param startedAt Monotonic time in ms at which the attempt started.
+     * @param attempt When the attempt started and ended, as monotonic times in ms; a probe may have followed.
      */
-    recordLoss(digest: string, targetId: string, admission: Admission, startedAt: number): void {
-        if (this.losses.wasLostBefore(targetId, digest, startedAt)) {
+    recordLoss(digest: string, targetId: string, admission: Admission, attempt: AttemptTimes): void {
+        if (this.losses.wasLostBefore(targetId, attempt.startedAt)) {
             this.opts.observe("suspect-loss-ignored", { fields: { target: targetId } });
             if (admission === "turn") {
                 this.endTurn(digest, false);
             }
             return;
         }
-        this.losses.record(targetId, digest);
+        const lostMs = Math.max(0, this.opts.now() - attempt.endedAt);
+        this.losses.record(targetId, lostMs);
         const suspect = this.findOrAdd(digest);
         suspect.targets.add(targetId);
         const isRefused = suspect.isRefused ||
             admission === "turn" && suspect.targets.size >= REFUSAL_THRESHOLD_TARGETS;
         this.opts.observe("suspect-loss", { fields: { target: targetId, refused: isRefused } });
-        this.publish({ digest, state: isRefused ? "refused" : "suspect", targets: [...suspect.targets] });
+        this.publish({ digest, state: isRefused ? "refused" : "suspect", targets: [...suspect.targets], lostMs });
         if (admission === "turn" && !isRefused) {
             this.publish({ digest, state: "ended", targets: [] });
         }
@@ -137,7 +143,7 @@
         }
     }
 
-    private apply({ digest, state, targets }: SuspectMessage): void {
+    private apply({ digest, state, targets, lostMs }: SuspectMessage): void {
         if (state === "ended" || state === "cleared") {
             const suspect = this.find(digest);
             if (suspect?.isRefused === false && state === "cleared") {
@@ -150,7 +156,7 @@
         const suspect = this.findOrAdd(digest);
         for (const target of targets) {
             if (!suspect.targets.has(target)) {
-                this.losses.record(target, digest);
+                this.losses.record(target, lostMs);
             }
             suspect.targets.add(target);
         }
--- a/delivery/src/suspectMessage.ts
+++ b/delivery/src/suspectMessage.ts
@@ -8,6 +8,8 @@
     state: z.enum(["suspect", "refused", "cleared", "ended"]),
     /** Ids of the targets that were lost while they ran the request. */
     targets: z.array(z.string()).max(100),
+    /** Time since the last target was lost, in ms; 0 if absent. */
+    lostMs: z.number().nonnegative().optional(),
 });
 
 export type SuspectMessage = z.infer<typeof suspectMessageSchema>;
--- a/delivery/src/targetLosses.ts
+++ b/delivery/src/targetLosses.ts
@@ -3,42 +3,32 @@
     readonly now: () => number;
 }
 
-interface Loss {
-    readonly digest: string;
-    /** Monotonic time in ms. */
-    readonly at: number;
-}
-
 /** A target that was lost may run again after this time. */
 const LOSS_LIFETIME_MS = 2_000;
 
-/** Targets that were lost recently and the requests that they ran then, to tell a killed target from a crashing request. */
+/** Targets that were lost recently, to tell a target that was gone already from one that a request has crashed. */
 export class TargetLosses {
-    private readonly byTarget = new Map<string, Loss[]>();
+    /** Monotonic time in ms of the last loss of each target, oldest first. */
+    private readonly lostAt = new Map<string, number>();
 
     constructor(private readonly opts: TargetLossesOptions) {}
 
-    record(targetId: string, digest: string): void {
+    /** @param lostMs Time since the loss, in ms. */
+    record(targetId: string, lostMs = 0): void {
         const now = this.opts.now();
-        for (const [id, losses] of this.byTarget) {
-            const recent = losses.filter(({ at }) => now - at <= LOSS_LIFETIME_MS);
-            if (recent.length > 0) {
-                this.byTarget.set(id, recent);
+        for (const [id, at] of this.lostAt) {
+            if (now - at <= LOSS_LIFETIME_MS) {
+                break;
             }
-            else {
-                this.byTarget.delete(id);
-            }
-        }
-        const known = this.byTarget.get(targetId) ?? [];
-        if (!known.some(loss => loss.digest === digest)) {
-            this.byTarget.set(targetId, [...known, { digest, at: now }]);
+            this.lostAt.delete(id);
         }
+        this.lostAt.delete(targetId);
+        this.lostAt.set(targetId, now - lostMs);
     }
 
-    /** Whether the target was lost while it ran another request, shortly before `startedAt`. */
-    wasLostBefore(targetId: string, digest: string, startedAt: number): boolean {
-        return this.byTarget.get(targetId)?.some(loss =>
-            loss.digest !== digest && loss.at < startedAt && startedAt - loss.at <= LOSS_LIFETIME_MS
-        ) ?? false;
+    /** Whether the target was lost shortly before `startedAt`. */
+    wasLostBefore(targetId: string, startedAt: number): boolean {
+        const at = this.lostAt.get(targetId);
+        return at !== undefined && at < startedAt && startedAt - at <= LOSS_LIFETIME_MS;
     }
 }
--- a/delivery/test/suspectEvidence.test.ts
+++ b/delivery/test/suspectEvidence.test.ts
@@ -19,7 +19,7 @@
         const admission = await suspects.awaitTurn(digest, DEADLINE_MS);
         const startedAt = clock.now;
         clock.now += 10;
-        suspects.recordLoss(digest, target, admission.unwrapOr("free"), startedAt);
+        suspects.recordLoss(digest, target, admission.unwrapOr("free"), { startedAt, endedAt: clock.now });
     };
     return { clock, suspects, isRefused, loseInTurn };
 }
@@ -34,6 +34,28 @@
         assert.equal(await isRefused(OTHER), false);
     });
 
+    it("is not the loss of a target that other copies of the request had lost before the attempt", async () => {
+        const { clock, suspects, isRefused, loseInTurn } = createSuspects();
+        ["t1", "t2", "t3"].forEach(target =>
+            suspects.recordLoss(OTHER, target, "free", { startedAt: 0, endedAt: clock.now })
+        );
+        clock.now += 10;
+        await loseInTurn(OTHER, "t2");
+        assert.equal(await isRefused(OTHER), false);
+    });
+
+    it("is not a loss that was noticed during the attempt, but happened before it", async () => {
+        const { clock, suspects, isRefused } = createSuspects();
+        suspects.recordLoss(OTHER, "t1", "free", { startedAt: 0, endedAt: clock.now });
+        const endedAt = clock.now += 10;
+        const startedAt = clock.now += 5;
+        const admission = await suspects.awaitTurn(OTHER, DEADLINE_MS);
+        clock.now += 20;
+        suspects.recordLoss(CRASHER, "t2", "free", { startedAt: 0, endedAt });
+        suspects.recordLoss(OTHER, "t2", admission.unwrapOr("free"), { startedAt, endedAt: clock.now });
+        assert.equal(await isRefused(OTHER), false);
+    });
+
     it("is the loss of a target that was well until the attempt", async () => {
         const { clock, isRefused, loseInTurn } = createSuspects();
         await loseInTurn(CRASHER, "t1");
@@ -42,7 +64,7 @@
         assert.equal(await isRefused(CRASHER), true);
     });
 
-    it("is the loss of a target that was lost to another request long before", async () => {
+    it("is the loss of a target that was lost long before", async () => {
         const { clock, isRefused, loseInTurn } = createSuspects();
         await loseInTurn(OTHER, "t2");
         await loseInTurn(CRASHER, "t1");
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -101,8 +101,12 @@
         const slowMs = canFailOver ? Math.max(MIN_ATTEMPT_MS, FAILOVER_FACTOR * choice.expectedMs) : Infinity;
         const shouldFailOver = () => this.shouldFailOver(request, progress);
         const end = await attempt.run({ signal, slowMs, shouldFailOver });
+        const endedAt = this.opts.now();
         if (end.result.end === "lost" && end.cancelledBy === undefined && await attempt.isTargetGone()) {
-            suspects.recordLoss(digest ?? digestOf(request), id, admission.value, attempt.startedAt);
+            suspects.recordLoss(digest ?? digestOf(request), id, admission.value, {
+                startedAt: attempt.startedAt,
+                endedAt,
+            });
         }
         else {
             this.endTurn(digest, admission.value, end.result.end === "answered");
