--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -30,8 +30,10 @@
 const HEARTBEAT_PART = "gateway";
 const CHANGES_MESSAGE_TYPE = "feed-changes";
 const MIN_REPORT_INTERVAL_MS = 150;
-/** The interval grows with the number of links, which bounds the cost of reports. */
+/** The interval grows with the number of links, which bounds the cost of reports for the sender. */
 const REPORT_INTERVAL_PER_LINK_MS = 10;
+/** The interval also grows with the fleet, as the relays of a large zone receive the reports of many hosts. */
+const REPORT_INTERVAL_PER_HOST_MS = 0.5;
 /** Changes that follow each other within this time are announced together. */
 const CHANGES_DELAY_MS = 40;
 
@@ -63,10 +65,11 @@
 
     /** Sends reports at intervals until the signal aborts. */
     async run(): Promise<void> {
-        const { signal, mesh } = this.opts;
+        const { signal, mesh, view } = this.opts;
         while (!signal.aborted) {
             this.sendReports();
-            const intervalMs = MIN_REPORT_INTERVAL_MS + REPORT_INTERVAL_PER_LINK_MS * mesh.peers().length;
+            const intervalMs = MIN_REPORT_INTERVAL_MS + REPORT_INTERVAL_PER_LINK_MS * mesh.peers().length +
+                REPORT_INTERVAL_PER_HOST_MS * view.hostCount;
             await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
         }
     }
