--- a/fleet/src/fleetView.ts
+++ b/fleet/src/fleetView.ts
@@ -1,7 +1,8 @@
 import type { PeerIdentity } from "@pistachioreel/peering";
 import type { FleetReport } from "./fleetReport.js";
 import type { FleetViewObserver } from "./fleetViewObserver.js";
-import type { ReadyHost, ReadyZone } from "./readyHosts.js";
+import type { ReadyHost } from "./readyHost.js";
+import type { ReadyZone } from "./readyZone.js";
 import type { Usage } from "./usage.js";
 import { UsageBaselines } from "./usageBaselines.js";
 import { UsageTotals } from "./usageTotals.js";
--- a/fleet/src/usageBaselines.ts
+++ b/fleet/src/usageBaselines.ts
@@ -32,9 +32,4 @@
         }
         return increases;
     }
-
-    /** Removes the baselines of all other sources. */
-    retain(isKept: (sourceId: string) => boolean): void {
-        [...this.baselines.keys()].filter(id => !isKept(id)).forEach(id => this.baselines.delete(id));
-    }
 }
