--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -107,7 +107,8 @@
 
     /** Revision up to which all changes are known; `undefined` if the objects have to be read. */
     private get followedRevision(): number | undefined {
-        const mustRead = !this.synced || this.mustReadAgain;
+        // The first call is a read, which fails soon while the store is silent; a wait for changes would not.
+        const mustRead = this.storeRevision === 0 || this.mustReadAgain;
         return mustRead ? undefined : Math.max(this.storeRevision, this.newestRevision);
     }
 
--- a/gateway/test/feedFollower.test.ts
+++ b/gateway/test/feedFollower.test.ts
@@ -43,6 +43,28 @@
 }
 
 describe("FeedFollower", () => {
+    it("reads the store before it waits for changes, as a wait in a silent store ends only after 20 s", async () => {
+        const stop = new AbortController();
+        const calls: string[] = [];
+        const call = (name: string) => async (): Promise<FeedResult> => {
+            calls.push(name);
+            stop.abort();
+            return err(new Failure("storeUnreachable"));
+        };
+        const follower = new FeedFollower<string>({
+            name: "things",
+            feed: { read: call("read"), follow: call("follow") },
+            onChange: () => undefined,
+            hostCount: () => 1,
+            logger: new Logger("follower-test", { write: () => undefined }),
+            now: () => performance.now(),
+            signal: stop.signal,
+        });
+        follower.merge({ entries: [entry("a", 7, "a")], revision: 7 });
+        await follower.run();
+        assert.deepEqual(calls, ["read"]);
+    });
+
     it("does not restore an older state of an object from a list or a peer that lags", async () => {
         const { follower, values } = await follow([
             ok({ entries: [entry("a", 10, "new")], revision: 10 }),
