--- a/gateway/src/platformState.ts
+++ b/gateway/src/platformState.ts
@@ -107,7 +107,7 @@
     }
 
     /** Registered hosts. */
-    get registeredHosts(): readonly AnnouncedHost[] {
+    private get registeredHosts(): readonly AnnouncedHost[] {
         return this.hosts.liveEntries.map(({ value }) => value);
     }
 
