--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -75,12 +75,22 @@
                 );
             }
             const zones = avoidedZones.size > 0 ? { avoidedZones } : {};
-            const queueRequest = { service, workspace, priority, deadlineAt, excluded, signal, ...zones };
-            let grant = await this.opts.queue.acquire(queueRequest);
+            const avoided = suspects.targetsToAvoid(admission.value);
+            const acquire = () =>
+                this.opts.queue.acquire({
+                    service,
+                    workspace,
+                    priority,
+                    deadlineAt,
+                    excluded: new Set([...excluded, ...avoided]),
+                    signal,
+                    ...zones,
+                });
+            let grant = await acquire();
             if (grant.isErr() && grant.error.code === "noTarget" && excluded.size > 0) {
                 // All targets were tried once; one that refused the request under load may have a free slot by now.
                 excluded.clear();
-                grant = await this.opts.queue.acquire(queueRequest);
+                grant = await acquire();
             }
             const endTurn = (isComplete: boolean) => {
                 if (admission.value === "turn") {
--- a/delivery/src/crashSuspects.ts
+++ b/delivery/src/crashSuspects.ts
@@ -94,17 +94,23 @@
     }
 
     /**
-     * Records that a target was lost while it ran the request. It is no evidence against the request if the target had
-     * been lost before the attempt, by this request or another one.
+     * Ids of targets that a request must not be sent to. In a turn these are the targets that were lost recently, as a
+     * further loss of one of them would be no evidence and let the request crash another target.
+     */
+    targetsToAvoid(admission: Admission): readonly string[] {
+        return admission === "turn" ? this.losses.recent : [];
+    }
+
+    /**
+     * Records that a target was lost while it ran the request, so that repeats need a turn. In a turn, it is no evidence
+     * against the request if the target had been lost before the attempt, by this request or another one.
      *
      * @param attempt When the attempt started and ended, as monotonic times in ms; a probe may have followed.
      */
     recordLoss(digest: string, targetId: string, admission: Admission, attempt: AttemptTimes): void {
-        if (this.losses.wasLostBefore(targetId, attempt.startedAt)) {
+        if (admission === "turn" && this.losses.wasLostBefore(targetId, attempt.startedAt)) {
             this.opts.observe("suspect-loss-ignored", { fields: { target: targetId } });
-            if (admission === "turn") {
-                this.endTurn(digest, false);
-            }
+            this.endTurn(digest, false);
             return;
         }
         const lostMs = Math.max(0, this.opts.now() - attempt.endedAt);
--- a/delivery/src/targetLosses.ts
+++ b/delivery/src/targetLosses.ts
@@ -26,6 +26,12 @@
         this.lostAt.set(targetId, now - lostMs);
     }
 
+    /** Ids of the targets that were lost recently and may not run again yet. */
+    get recent(): string[] {
+        const now = this.opts.now();
+        return [...this.lostAt].filter(([, at]) => now - at <= LOSS_LIFETIME_MS).map(([id]) => id);
+    }
+
     /** Whether the target was lost shortly before `startedAt`. */
     wasLostBefore(targetId: string, startedAt: number): boolean {
         const at = this.lostAt.get(targetId);
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -86,7 +86,7 @@
         if (admission.isErr()) {
             return this.fail(progress, admission.error);
         }
-        const choice = placement.choose(placementOf(request, progress));
+        const choice = placement.choose(placementOf(request, progress, suspects.targetsToAvoid(admission.value)));
         if ("refusal" in choice) {
             this.endTurn(digest, admission.value, false);
             const failure = new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue");
@@ -268,14 +268,18 @@
     }
 }
 
-function placementOf(request: RelayedRequest, { excluded }: Progress): PlacementRequest {
+function placementOf(
+    request: RelayedRequest,
+    { excluded }: Progress,
+    avoided: readonly string[] = [],
+): PlacementRequest {
     const { service, route, object, workspace, body, objectiveAt, deadlineAt } = request;
     return {
         service,
         route: route.name,
         object,
         regions: commonRegions(route.regions, workspace?.regions ?? []),
-        excluded,
+        excluded: avoided.length === 0 ? excluded : new Set([...excluded, ...avoided]),
         bodyBytes: body?.length ?? 0,
         objectiveMs: route.objectiveMs,
         objectiveAt,
