Thin out requests over a workspace's limit at random instead of by a part for each host

Above 0.9 of the rate each host kept to its own part of it; with 195 hosts that is less than one request a second and one token, and requests don't arrive evenly.

Ruled out: more tokens for each host's part (binds nothing with 195 hosts); a shorter time constant of the demand (more refusals of small workspaces, hardly less excess). Bursts of up to 20 tokens are now used as a whole.

--- a/gateway/src/workspaceLimits.ts
+++ b/gateway/src/workspaceLimits.ts
@@ -28,7 +28,7 @@
         const share = Math.min(1, linked / total);
         for (const { name, ratePerSecond: rate, burst } of this.workspaces) {
             if (rate > 0) {
-                this.bucketOf(name).resize({ rate, burst, share, hosts: linked });
+                this.bucketOf(name).resize({ rate, burst, share });
             }
         }
     }
--- a/limits/src/replicatedTokenBucket.ts
+++ b/limits/src/replicatedTokenBucket.ts
@@ -1,9 +1,10 @@
 import { DecayingRate } from "./decayingRate.js";
-import { TokenBucket } from "./tokenBucket.js";
 
 interface ReplicatedTokenBucketOptions {
     /** Monotonic time in ms. */
     readonly now: () => number;
+    /** Random numbers from 0 to below 1; `Math.random` by default. */
+    readonly random?: () => number;
 }
 
 interface BucketSize {
@@ -13,8 +14,6 @@
     readonly burst: number;
     /** Part of rate and burst that the connected hosts may use, from 0 to 1. */
     readonly share: number;
-    /** Number of hosts connected to each other, this one included. */
-    readonly hosts: number;
 }
 
 /** Tokens that were requested from replicas and those taken from them. */
@@ -24,56 +23,49 @@
 }
 
 const MS_PER_SECOND = 1_000;
-/** Usable share of the burst; the rest is a margin for the delay of other hosts' reports. */
+/** Usable share of a large burst; the rest is a margin for the delay of other hosts' reports. */
 const USABLE_BURST_SHARE = 0.8;
+/** Bursts up to this number of tokens are used as a whole, as the margin would be a large part of them. */
+const SMALL_BURST = 20;
 /** Initial fill level: a host that has just started does not know which tokens the others took recently. */
 const INITIAL_FILL_SHARE = 0.5;
 const DEMAND_TIME_CONSTANT_MS = 2_000;
-/** Demand above this share of the rate binds hosts to their own parts, as reports come too late to prevent excess. */
-const SCARCITY_SHARE = 0.9;
-/**
- * Below this demand, in requests per second over all hosts, the delay of reports allows only a few requests too many,
- * while a host's own part of the rate would be too small for the requests that happen to arrive there.
- */
-const MIN_SCARCE_DEMAND_PER_SECOND = 15;
+/** Requests are thinned out to this multiple of the rate, so that the tokens and not the estimated demand decide. */
+const THINNING_MARGIN = 1.05;
 
 /**
  * Token bucket of which every host keeps a replica. Each host takes tokens from its own replica and subtracts those
  * that the others report. A replica can become negative by what others took at the same time; it must refill to one
- * token before the next is taken. While the demand is close to the rate or above it, each host also keeps to its own
- * part of the rate, which follows its part of the demand but is at least half of an equal part. Hosts that are cut off
- * from each other use a part of the rate each.
+ * token before the next is taken. While the demand of all hosts exceeds the rate, each host admits the same fraction of
+ * its requests, at random: if all of them took tokens whenever their replicas have some, they would take too many at
+ * once, and a fixed part for each host would be too small for the requests that happen to arrive there. Hosts that are
+ * cut off from each other use a part of the rate each.
  */
 export class ReplicatedTokenBucket {
     private tokens = 0;
     private isUnsized = true;
     private updatedAt: number;
-    private size: BucketSize = { rate: 0, burst: 0, share: 1, hosts: 1 };
+    private size: BucketSize = { rate: 0, burst: 0, share: 1 };
     private requested = 0;
     private taken = 0;
     /** Requests that `collectUse` has returned. */
     private collectedRequests = 0;
-    private readonly ownDemand: DecayingRate;
+    /** Demand of all hosts; this host's own is counted when it is reported, so that it is as old as the others'. */
     private readonly totalDemand: DecayingRate;
-    private readonly ownBucket: TokenBucket;
+    private readonly random: () => number;
 
     constructor(private readonly opts: ReplicatedTokenBucketOptions) {
-        const { now } = opts;
+        const { now, random = Math.random } = opts;
         this.updatedAt = now();
-        this.ownDemand = new DecayingRate({ timeConstantMs: DEMAND_TIME_CONSTANT_MS, now });
+        this.random = random;
         this.totalDemand = new DecayingRate({ timeConstantMs: DEMAND_TIME_CONSTANT_MS, now });
-        this.ownBucket = new TokenBucket({ rate: 0, capacity: 1, now });
     }
 
-    /**
-     * Returns this host's use of the bucket since its start, to be sent to the other hosts. This host's own demand is
-     * counted only here, so that it is as old as that of the others.
-     */
+    /** Returns this host's use of the bucket since its start, to be sent to the other hosts. */
     collectUse(): BucketUse {
         const { requested, taken } = this;
         const increase = requested - this.collectedRequests;
         if (increase > 0) {
-            this.ownDemand.add(increase);
             this.totalDemand.add(increase);
             this.collectedRequests = requested;
         }
@@ -88,15 +80,13 @@
         this.isUnsized = false;
     }
 
-    /** Takes a token if the replica, and under scarcity also this host's own part, has one. */
+    /** Takes a token if the replica has one and the request is not thinned out. */
     tryTake(): boolean {
         this.refill();
         this.requested++;
-        const hasOwnToken = this.ownBucket.level >= 1;
-        if (this.tokens < 1 || this.isScarce && !hasOwnToken) {
+        if (this.tokens < 1 || this.random() >= this.admittedFraction) {
             return false;
         }
-        this.ownBucket.remove(1);
         this.tokens--;
         this.taken++;
         return true;
@@ -105,9 +95,9 @@
     /** Time until a token may be available, in ms; more demand at other hosts can make it longer. */
     get waitMs(): number {
         this.refill();
-        const rate = this.rate;
-        const sharedMs = this.tokens >= 1 ? 0 : rate > 0 ? (1 - this.tokens) / rate * MS_PER_SECOND : Infinity;
-        return Math.max(sharedMs, this.isScarce ? this.ownBucket.waitMs : 0);
+        const { rate } = this;
+        const refillMs = this.tokens >= 1 ? 0 : rate > 0 ? (1 - this.tokens) / rate * MS_PER_SECOND : Infinity;
+        return this.admittedFraction < 1 ? Math.max(refillMs, this.excessMs) : refillMs;
     }
 
     /** Subtracts further tokens that other hosts have taken from their replicas. */
@@ -122,11 +112,17 @@
     }
 
     private get capacity(): number {
-        return Math.max(1, this.size.burst * this.size.share * USABLE_BURST_SHARE);
+        const burst = this.size.burst * this.size.share;
+        return Math.max(1, Math.min(burst, SMALL_BURST + (burst - SMALL_BURST) * USABLE_BURST_SHARE));
+    }
+
+    private get admittedFraction(): number {
+        return Math.min(1, THINNING_MARGIN * this.rate / this.totalDemand.rate);
     }
 
-    private get isScarce(): boolean {
-        return this.totalDemand.rate > Math.max(SCARCITY_SHARE * this.rate, MIN_SCARCE_DEMAND_PER_SECOND);
+    /** Time in which the rate admits what the estimated demand has too many, in ms. */
+    private get excessMs(): number {
+        return (this.totalDemand.rate / this.rate - 1) * MS_PER_SECOND;
     }
 
     private refill(): void {
@@ -134,11 +130,5 @@
         const gained = (now - this.updatedAt) * this.rate / MS_PER_SECOND;
         this.tokens = Math.min(this.capacity, this.tokens + gained);
         this.updatedAt = now;
-        const total = this.totalDemand.rate;
-        const ownFraction = total > 0
-            ? Math.max(this.ownDemand.rate / total, 0.5 / this.size.hosts)
-            : 1 / this.size.hosts;
-        this.ownBucket.advance(now);
-        this.ownBucket.resize(this.rate * ownFraction, Math.max(1, this.capacity * ownFraction));
     }
 }
