Read the sockets once more before an attempt is cancelled by a timer

Cause: after a pause of the process (SIGSTOP, a machine without processor time), timers expire before the sockets are read, so a response that had arrived meanwhile was thrown away and the caller of a request that had run got 504. The entry host's path is changed alike.

--- a/delivery/src/attempt.ts
+++ b/delivery/src/attempt.ts
@@ -46,6 +46,9 @@
 
     /** Stops the attempt and closes its connection, which cancels the request on the target. */
     stop(reason: NonNullable<AttemptResult["stoppedBy"]>): void {
+        if (this.ended) {
+            return;
+        }
         this.stoppedBy ??= reason;
         this.controller?.abort(new Error(reason));
     }
--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -147,8 +147,12 @@
         const { now } = this.opts;
         const { deadlineAt, attemptTimeoutMs, response } = request;
         return new Promise(resolve => {
-            const onDeadline = () => attempt.stop("deadline");
-            const onIdle = () => response.writableNeedDrain ? idleTimer.refresh() : attempt.stop("attempt-timeout");
+            // After a pause of this process, timers expire before a response that has arrived meanwhile is read.
+            const onDeadline = () => setImmediate(() => attempt.stop("deadline"));
+            const onIdle = () =>
+                response.writableNeedDrain
+                    ? idleTimer.refresh()
+                    : setImmediate(() => attempt.stop("attempt-timeout"));
             const onClose = () => response.writableFinished || attempt.stop("disconnect");
             const deadlineTimer = setTimeout(onDeadline, Math.max(0, deadlineAt - now()));
             const idleTimer = setTimeout(onIdle, attemptTimeoutMs);
--- a/gateway/src/attemptCancellation.ts
+++ b/gateway/src/attemptCancellation.ts
@@ -14,20 +14,21 @@
     /** The first reason for which the attempt was cancelled; `undefined` if it was not. */
     cancelledBy: "caller" | "deadline" | "slow" | undefined;
     private readonly controller = new AbortController();
-    private timer: NodeJS.Timeout;
+    private timer: NodeJS.Timeout | undefined;
+    private immediate: NodeJS.Immediate | undefined;
     private readonly onAbort = () => this.cancel("caller");
 
     constructor(private readonly opts: AttemptCancellationOptions) {
         const { signal, deadlineMs, slowMs, shouldFailOver } = opts;
-        const cancelAtDeadline = (ms: number) => setTimeout(() => this.cancel("deadline"), Math.max(0, ms));
-        this.timer = slowMs >= deadlineMs ? cancelAtDeadline(deadlineMs) : setTimeout(() => {
-            if (shouldFailOver()) {
-                this.cancel("slow");
-            }
-            else {
-                this.timer = cancelAtDeadline(deadlineMs - slowMs);
-            }
-        }, slowMs);
+        if (slowMs >= deadlineMs) {
+            this.cancelAtDeadline(deadlineMs);
+        }
+        else {
+            this.schedule(
+                () => shouldFailOver() ? this.cancel("slow") : this.cancelAtDeadline(deadlineMs - slowMs),
+                slowMs,
+            );
+        }
         signal.addEventListener("abort", this.onAbort);
         if (signal.aborted) {
             this.onAbort();
@@ -42,9 +43,22 @@
     /** Stops the timer and the listener. To be called when the attempt has ended. */
     dispose(): void {
         clearTimeout(this.timer);
+        clearImmediate(this.immediate);
         this.opts.signal.removeEventListener("abort", this.onAbort);
     }
 
+    private cancelAtDeadline(ms: number): void {
+        this.schedule(() => this.cancel("deadline"), ms);
+    }
+
+    /**
+     * Calls the action after a time in ms, unless the attempt ends before. The sockets are read once between the timer and
+     * the action: after a pause of this process, timers expire before a response that has arrived meanwhile is read.
+     */
+    private schedule(action: () => void, ms: number): void {
+        this.timer = setTimeout(() => this.immediate = setImmediate(action), Math.max(0, ms));
+    }
+
     private cancel(reason: NonNullable<AttemptCancellation["cancelledBy"]>): void {
         this.cancelledBy ??= reason;
         this.controller.abort();
