Send reports at least every 450 ms, so that limits hold when demand rises suddenly in a large fleet

Cause: the relays of 195 hosts sent reports every 650 ms, so a rise of a workspace's demand to 7.5 times the usual was known to the other hosts after 0.8 s, and too many were admitted before: 1,065 in 5 s at 150/s, tolerated 1,010. Smaller fleets are as before: their interval is below the bound.

Ruled out: a smaller usable burst (refuses bursts that are allowed); early reports at a rise (a relay of one zone sees it hardly sooner than the sum does). Cost: relays of 195 hosts send 1.4 times as many reports.

--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import type { FeedReplication } from "./feedReplication.js";
+import { reportInterval } from "./reportInterval.js";
 import type { WarmObjectExchange } from "./warmObjectExchange.js";
 import type { WorkspaceLimits } from "./workspaceLimits.js";
 
@@ -29,11 +30,6 @@
 
 const HEARTBEAT_PART = "gateway";
 const CHANGES_MESSAGE_TYPE = "feed-changes";
-const MIN_REPORT_INTERVAL_MS = 150;
-/** The interval grows with the number of links, which bounds the cost of reports for the sender. */
-const REPORT_INTERVAL_PER_LINK_MS = 10;
-/** The interval also grows with the fleet, as the relays of a large zone receive the reports of many hosts. */
-const REPORT_INTERVAL_PER_HOST_MS = 0.5;
 /** Changes that follow each other within this time are announced together. */
 const CHANGES_DELAY_MS = 40;
 
@@ -68,8 +64,7 @@
         const { signal, mesh, view } = this.opts;
         while (!signal.aborted) {
             this.sendReports();
-            const intervalMs = MIN_REPORT_INTERVAL_MS + REPORT_INTERVAL_PER_LINK_MS * mesh.peers().length +
-                REPORT_INTERVAL_PER_HOST_MS * view.hostCount;
+            const intervalMs = reportInterval({ links: mesh.peers().length, hosts: view.hostCount });
             await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
         }
     }
--- a/limits/test/replicatedTokenBucket.test.ts
+++ b/limits/test/replicatedTokenBucket.test.ts
@@ -6,8 +6,8 @@
 const RATE = 100;
 const WINDOW_MS = 5_000;
 /**
- * Interval of the reports of a host in a fleet of nine availability zones, and the mean time that they take through two
- * relays, which send every 650 ms.
+ * Interval of the reports of a host in a fleet of nine availability zones, and the time that they take through two relays
+ * if these send every 650 ms.
  */
 const LARGE_FLEET = { hosts: 195, reportMs: 270, delayMs: 650 };
 
