Don't count an attempt that reached an address of a target that has left

The retry budget still pays for it.

Ruled out: not counting refusals of full targets either, as these are targets of the service. requestRelay.test.ts failed before.

--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -196,6 +196,8 @@
             this.opts.loads.recordFull(target.id, FULL_TARGET_BACKOFF_MS);
         }
         else {
+            // The request has reached none of the service's targets.
+            progress.sends--;
             this.opts.health.recordUnreachable(target);
         }
         this.log("attempt-refused", request, target, outcome);
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -1,5 +1,6 @@
 import { CrashSuspects, RetryBudget } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
+import type { Target } from "@pistachioreel/placement";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { routeContent } from "../../desired-state/test/stateContent.js";
@@ -18,10 +19,34 @@
     /** Whether the retry budget allows retries. */
     readonly hasBudget?: boolean;
     readonly isLeaving?: boolean;
+    readonly targets?: readonly Target[];
+    readonly poolOf?: (target: Target) => object;
+    readonly dialect?: Partial<Dialect>;
 }
 
-/** Creates a relay with two targets that never respond. */
-function newRelay({ end = "unsent", hasBudget = true, isLeaving = false }: RelayOptions = {}) {
+/** Options of a relay with four targets; all but the last have left, and others have their addresses. */
+function withReusedAddresses(): RelayOptions {
+    const targets = ["t", "u", "v", "w"].map(id => newTarget(id));
+    const interpretation = { load: undefined, coldMs: undefined };
+    return {
+        targets,
+        poolOf: ({ id }) => ({
+            exchange: async () => ({
+                end: "answered",
+                response: { status: id === "w" ? 200 : 421, headers: [], body: Buffer.alloc(0), isFramed: true },
+            }),
+        }),
+        dialect: {
+            interpretResponse: ({ status }) => ({
+                ...interpretation,
+                outcome: status === 421 ? "misdirected" : "result",
+            }),
+        },
+    };
+}
+
+/** Creates a relay with two targets that never respond, unless `pool` and `dialect` say otherwise. */
+function newRelay({ end = "unsent", hasBudget = true, isLeaving = false, ...opts }: RelayOptions = {}) {
     const target = newTarget("t");
     const now = () => performance.now();
     const clock = {
@@ -29,7 +54,7 @@
             return performance.now();
         },
     };
-    const targets = [target, newTarget("u")];
+    const targets = opts.targets ?? [target, newTarget("u")];
     const host = newHost({ clock, targets });
     const pool = {
         exchange: (_request: unknown, signal: AbortSignal) =>
@@ -39,8 +64,8 @@
     };
     const relay = new RequestRelay({
         ...host,
-        dialect: { targetHeaders: () => [] } as unknown as Dialect,
-        connectionPools: { poolOf: () => pool } as unknown as TargetConnectionPools,
+        dialect: { targetHeaders: () => [], ...opts.dialect } as unknown as Dialect,
+        connectionPools: { poolOf: opts.poolOf ?? (() => pool) } as unknown as TargetConnectionPools,
         suspects: new CrashSuspects({ hostId: "h1", observe: () => undefined, now }),
         retryBudget: () => new RetryBudget({ now, ...(hasBudget ? {} : { share: 0, minPerSecond: 0 }) }),
         isLeaving: () => isLeaving,
@@ -109,6 +134,16 @@
         assert.ok(targets.some(target => health.latencyRatio(target) > 1));
     });
 
+    it("does not count targets that have left among the targets that a request may be sent to", async () => {
+        for (let round = 0; round < 8; round++) {
+            const { relay } = newRelay(withReusedAddresses());
+            const request = newRequest({ route: { ...routeContent(), isIdempotent: false } });
+            const result = await relay.run(request, new AbortController().signal);
+            assert.ok("response" in result && result.response.status === 200);
+            assert.equal(result.sends, 1);
+        }
+    });
+
     it("sends the request to another target if the first one is slow", async () => {
         const { relay } = newRelay({ end: "lost" });
         const request = newRequest({ deadlineAt: performance.now() + DEADLINE_MS });
