--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -14,7 +14,6 @@
     WarmObjects,
 } from "@pistachioreel/placement";
 import { listen, monotonicNow, parseEndpoint } from "@pistachioreel/runtime";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { AnnouncedHost } from "./announcedHost.js";
 import { AuxiliaryServers } from "./auxiliaryServers.js";
 import { FeedReplication } from "./feedReplication.js";
@@ -23,6 +22,7 @@
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import { HostDirectory } from "./hostDirectory.js";
 import { HostRegistration } from "./hostRegistration.js";
+import { ListenerDrain } from "./listenerDrain.js";
 import type { PlatformAccess } from "./platformAccess.js";
 import { PlatformState } from "./platformState.js";
 import { RequestListener } from "./requestListener.js";
@@ -40,13 +40,6 @@
 const RESPONSE_MEMORY_SHARE = 0.15;
 /** Callers may cache a response of the directory for this time, or for less if the settings say so. */
 const MAX_LOOKUP_LIFETIME_MS = 2_000;
-/** Share of the stop timeout in which new requests of callers are still served. */
-const CALLER_DEPARTURE_SHARE = 0.6;
-/** The process ends by itself this long before the stop timeout, at which it would be killed. */
-const STOP_MARGIN_MS = 800;
-/** Callers that look up the hosts again have moved to others this long after the start of a shutdown. */
-const MIN_CALLER_DEPARTURE_MS = 2_600;
-const STOP_POLL_INTERVAL_MS = 20;
 /** At the first start of the fleet, its hosts have registered within this time. */
 const REGISTRATION_MS = 2_000;
 /** At the first start of the fleet, seeds are used after this time, if the store has not listed the other hosts. */
@@ -205,22 +198,13 @@
      * running requests. Returns whether all of them had ended.
      */
     async stop(): Promise<boolean> {
-        const startedAt = monotonicNow();
-        const { settings: { stopTimeout }, logger } = this.opts;
+        const { settings: { stopTimeout: stopTimeoutMs }, logger } = this.opts;
+        const drain = new ListenerDrain({ listener: this.listener, stopTimeoutMs, now: monotonicNow });
         this.isLeaving = true;
         this.listener.startLeaving();
         this.exchange.sendReports();
         logger.info({ event: "host-leaving", fields: { running: this.listener.running } });
-        await this.waitForCallersToLeave(
-            startedAt + stopTimeout * CALLER_DEPARTURE_SHARE,
-            startedAt + MIN_CALLER_DEPARTURE_MS,
-        );
-        this.listener.server.close();
-        const endAt = startedAt + stopTimeout - STOP_MARGIN_MS;
-        while (this.listener.running > 0 && monotonicNow() < endAt) {
-            await sleep(STOP_POLL_INTERVAL_MS);
-        }
-        const drained = this.listener.running === 0;
+        const drained = await drain.run();
         this.stopController.abort();
         this.mesh.stop();
         this.connectionPools.retain([]);
@@ -235,13 +219,6 @@
         this.opts.logger.info({ event: "settings-reloaded", fields: { inForce: "at the next start" } });
     }
 
-    /** Waits until no caller is connected, but at least until `earliestEnd` and at most until `latestEnd`. */
-    private async waitForCallersToLeave(latestEnd: number, earliestEnd: number): Promise<void> {
-        while (monotonicNow() < latestEnd && (this.listener.connections > 0 || monotonicNow() < earliestEnd)) {
-            await sleep(STOP_POLL_INTERVAL_MS);
-        }
-    }
-
     private get state(): FleetReport["state"] {
         return this.isLeaving ? "leaving" : this.platformState.stateInForce === undefined ? "starting" : "ready";
     }
--- /dev/null
+++ b/gateway/src/listenerDrain.ts
@@ -0,0 +1,54 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { RequestListener } from "./requestListener.js";
+
+interface ListenerDrainOptions {
+    readonly listener: Pick<RequestListener, "connections" | "running" | "server">;
+    /** Time from the start of the shutdown after which the process is killed, in ms. */
+    readonly stopTimeoutMs: number;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+/** Share of the stop timeout in which new requests of callers are still served. */
+const CALLER_DEPARTURE_SHARE = 0.6;
+/** Callers that look up the hosts again have moved to others this long after the start of a shutdown. */
+const MIN_CALLER_DEPARTURE_MS = 2_600;
+/** The process ends by itself this long before the stop timeout. */
+const STOP_MARGIN_MS = 800;
+const POLL_INTERVAL_MS = 20;
+
+/** Lets the callers of a host that is shutting down move to others, and its running requests end. */
+export class ListenerDrain {
+    private readonly startedAt: number;
+
+    /** Starts the time of the shutdown. */
+    constructor(private readonly opts: ListenerDrainOptions) {
+        this.startedAt = opts.now();
+    }
+
+    /**
+     * Serves callers until they have disconnected, closes the listener and waits for the running requests. Returns
+     * whether all of them have ended in time.
+     */
+    async run(): Promise<boolean> {
+        const { listener, stopTimeoutMs } = this.opts;
+        await this.waitForCallersToLeave();
+        listener.server.close();
+        while (listener.running > 0 && this.elapsedMs < stopTimeoutMs - STOP_MARGIN_MS) {
+            await sleep(POLL_INTERVAL_MS);
+        }
+        return listener.running === 0;
+    }
+
+    private async waitForCallersToLeave(): Promise<void> {
+        const { listener, stopTimeoutMs } = this.opts;
+        const mustServe = () => listener.connections > 0 || this.elapsedMs < MIN_CALLER_DEPARTURE_MS;
+        while (this.elapsedMs < stopTimeoutMs * CALLER_DEPARTURE_SHARE && mustServe()) {
+            await sleep(POLL_INTERVAL_MS);
+        }
+    }
+
+    private get elapsedMs(): number {
+        return this.opts.now() - this.startedAt;
+    }
+}
