Keep a host running after an unexpected error in one of its tasks

Cause, by reading and by tests that failed first: the process ended if an object of the store or of a peer could not be applied, if a part of a heartbeat could not be built, or if one run of the tasks for reports and links failed, as nothing awaited these tasks.

Now each of these is logged and the task goes on; what nothing catches is logged with its stack. An error while a page of a peer was applied was swallowed without a line and is logged. Ruled out: ending the process and starting again, which loses all running requests for the error of one task.

--- a/cli/src/commands/gateway.ts
+++ b/cli/src/commands/gateway.ts
@@ -3,6 +3,7 @@
 import { Platform } from "@pistachioreel/platform";
 import { err } from "neverthrow";
 import type { Command } from "../command.js";
+import { logUnexpectedErrors } from "../logUnexpectedErrors.js";
 import { readSettings } from "../readSettings.js";
 import { runHost } from "../runHost.js";
 
@@ -24,6 +25,7 @@
         }
         const lineWriter = new LineWriter();
         const logger = new Logger(settings.value.hostId, { level: settings.value.logLevel, write: lineWriter.write });
+        logUnexpectedErrors(logger);
         const platform = new Platform({ settings: settings.value, logger });
         const host = new Gateway({ settings: settings.value, platform, logger });
         process.on("SIGHUP", () => host.reload());
--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -172,7 +172,18 @@
         this.changeCount += changed.length;
         this.pruneTombstones();
         if (changed.length > 0) {
-            this.opts.onChange(changed);
+            this.notify(changed);
+        }
+    }
+
+    /** Catches errors, so that one object that cannot be applied does not end the process or the following of others. */
+    private notify(changed: readonly FeedEntry<T>[]): void {
+        const { name, onChange, logger } = this.opts;
+        try {
+            onChange(changed);
+        }
+        catch (cause) {
+            logger.error({ event: "feed-change-failed", fields: { feed: name, reason: String(cause) } });
         }
     }
 
--- a/gateway/src/feedReplication.ts
+++ b/gateway/src/feedReplication.ts
@@ -102,8 +102,12 @@
             }
             await this.fetch(from, name, feed);
         }
-        catch {
-            // The sleep rejects only when the signal aborts, at shutdown.
+        catch (cause) {
+            // The sleep rejects when the signal aborts, at shutdown.
+            if (!this.opts.signal.aborted) {
+                const fields = { peer: from.hostId, feed: name, reason: String(cause) };
+                this.opts.logger.error({ event: "peer-feed-failed", fields });
+            }
         }
         finally {
             this.pending.delete(key);
--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@pistachioreel/logging";
 import type { PeerIdentity, WebSocketMesh } from "@pistachioreel/peering";
 import type { TargetLoads } from "@pistachioreel/placement";
+import { runPeriodically } from "@pistachioreel/runtime";
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import type { FeedReplication } from "./feedReplication.js";
@@ -61,12 +62,12 @@
 
     /** Sends reports at intervals until the signal aborts. */
     async run(): Promise<void> {
-        const { signal, mesh, view } = this.opts;
-        while (!signal.aborted) {
-            this.sendReports();
-            const intervalMs = reportInterval({ links: mesh.peers().length, hosts: view.hostCount });
-            await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
-        }
+        const { signal, mesh, view, logger } = this.opts;
+        await runPeriodically(() => this.sendReports(), {
+            intervalMs: () => reportInterval({ links: mesh.peers().length, hosts: view.hostCount }),
+            signal,
+            onError: cause => logger.error({ event: "report-failed", fields: { reason: String(cause) } }),
+        });
     }
 
     /** Sends a report to all linked hosts now. */
@@ -94,8 +95,12 @@
         view.setOwn({ state: state(), callers, running: Object.fromEntries(loads.running), admitted: limits.usage() });
         warmObjects.collect();
         this.isReporting = true;
-        send();
-        this.isReporting = false;
+        try {
+            send();
+        }
+        finally {
+            this.isReporting = false;
+        }
     }
 
     /** Announces changes of feeds to the linked hosts of the own zone, soon and once for changes that come together. */
--- a/gateway/src/fleetLinks.ts
+++ b/gateway/src/fleetLinks.ts
@@ -1,7 +1,7 @@
 import { FleetView, type FleetViewObserver, RelayTopology } from "@pistachioreel/fleet";
 import type { Logger } from "@pistachioreel/logging";
 import type { WebSocketMesh } from "@pistachioreel/peering";
-import { setTimeout as sleep } from "node:timers/promises";
+import { runPeriodically } from "@pistachioreel/runtime";
 import { isDeepStrictEqual } from "node:util";
 import type { AnnouncedHost } from "./announcedHost.js";
 import type { StoreGate } from "./storeGate.js";
@@ -97,11 +97,12 @@
 
     /** Adapts links and role at intervals until the signal aborts. */
     async run(): Promise<void> {
-        const { signal } = this.opts;
-        while (!signal.aborted) {
-            this.update();
-            await sleep(CHECK_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
-        }
+        const { signal, logger } = this.opts;
+        await runPeriodically(() => this.update(), {
+            intervalMs: () => CHECK_INTERVAL_MS,
+            signal,
+            onError: cause => logger.error({ event: "links-update-failed", fields: { reason: String(cause) } }),
+        });
     }
 
     private update(): void {
--- a/gateway/test/feedFollower.test.ts
+++ b/gateway/test/feedFollower.test.ts
@@ -15,7 +15,7 @@
 /** Follows a feed that returns these results, one for each call; the call after the last result stops the follower. */
 async function follow(
     results: readonly FeedResult[],
-    opts: { before?: (follower: FeedFollower<string>) => void; } = {},
+    opts: { before?: (follower: FeedFollower<string>) => void; onChange?: () => void; } = {},
 ) {
     const remaining = [...results];
     const stop = new AbortController();
@@ -31,7 +31,10 @@
     const follower = new FeedFollower<string>({
         name: "things",
         feed,
-        onChange: changed => changed.forEach(({ name, value }) => values.set(name, value)),
+        onChange: changed => {
+            opts.onChange?.();
+            changed.forEach(({ name, value }) => values.set(name, value));
+        },
         hostCount: () => 1,
         logger: new Logger("follower-test", { write: () => undefined }),
         now: () => performance.now(),
@@ -43,6 +46,18 @@
 }
 
 describe("FeedFollower", () => {
+    it("goes on with a new read after a change that could not be applied, which would end the process", async () => {
+        let changes = 0;
+        const failOnce = () => {
+            if (++changes === 1) {
+                throw new TypeError("unexpected");
+            }
+        };
+        const page = (revision: number) => ok({ entries: [entry("a", revision, `value ${revision}`)], revision });
+        const { values } = await follow([page(5), page(6)], { onChange: failOnce });
+        assert.equal(values.get("a"), "value 6");
+    });
+
     it("reads the store before it waits for changes, as a wait in a silent store ends only after 20 s", async () => {
         const stop = new AbortController();
         const calls: string[] = [];
--- a/peering/src/peerLink.ts
+++ b/peering/src/peerLink.ts
@@ -95,20 +95,31 @@
 
     /** Sends a heartbeat with the payloads of all parts. */
     sendHeartbeat(): void {
-        const { parts, socket, now } = this.opts;
-        const payload: Record<string, unknown> = {};
-        for (const [name, part] of parts) {
-            const partPayload = part.payload(this.peer);
-            if (partPayload !== undefined) {
-                payload[name] = partPayload;
-            }
-        }
+        const { socket, now } = this.opts;
+        const payload = this.collectPayloads();
         const sequence = ++this.sequence;
         this.lastHeartbeatAt = now();
         this.unacknowledged.push({ sequence, sentAt: this.lastHeartbeatAt });
         socket.send(["heartbeat", sequence, this.lastReceivedSequence, payload]);
     }
 
+    /** Payloads by the name of their part. A part that fails is left out, so that the others still reach the peer. */
+    private collectPayloads(): Record<string, unknown> {
+        const payloads: Record<string, unknown> = {};
+        for (const [name, part] of this.opts.parts) {
+            try {
+                const payload = part.payload(this.peer);
+                if (payload !== undefined) {
+                    payloads[name] = payload;
+                }
+            }
+            catch (cause) {
+                this.opts.onFailure?.(name, cause);
+            }
+        }
+        return payloads;
+    }
+
     /** Sends a heartbeat if at least three quarters of the interval have passed since the last one. */
     sendHeartbeatIfDue(intervalMs: number): void {
         if (this.opts.now() - this.lastHeartbeatAt >= intervalMs * DUE_INTERVAL_FRACTION) {
--- a/peering/test/webSocketMesh.test.ts
+++ b/peering/test/webSocketMesh.test.ts
@@ -48,6 +48,22 @@
         await waitUntil(() => first.peers()[0]?.incarnation === incarnation, LINK_TIMEOUT_MS);
     });
 
+    it("goes on to send heartbeats if a part of them fails, which would end the process", async () => {
+        const [portA, portB] = [await getFreePort(), await getFreePort()];
+        const first = await startMesh("a", portA);
+        const second = await startMesh("b", portB);
+        let received = 0;
+        first.addHeartbeatPart("working", { payload: () => undefined, receive: () => received++ });
+        const fail = () => {
+            throw new Error("of the test");
+        };
+        second.addHeartbeatPart("failing", { payload: fail, receive: () => undefined });
+        second.addHeartbeatPart("working", { payload: () => 1, receive: () => undefined });
+        second.setPeers([{ hostId: "a", address: `127.0.0.1:${portA}`, isOnlyOpener: true }]);
+        await waitUntil(() => received >= 2, LINK_TIMEOUT_MS);
+        assert.ok(events.includes("peer-message-failed"));
+    });
+
     it("survives a handler that fails at a message or a heartbeat of a peer, which would end the process", async () => {
         const [portA, portB] = [await getFreePort(), await getFreePort()];
         const first = await startMesh("a", portA);
--- a/runtime/src/index.ts
+++ b/runtime/src/index.ts
@@ -5,3 +5,4 @@
 export { monotonicNow } from "./monotonicNow.js";
 export { parseEndpoint } from "./parseEndpoint.js";
 export { rejectMalformedRequest } from "./rejectMalformedRequest.js";
+export { runPeriodically } from "./runPeriodically.js";
