--- a/delivery/src/attemptSequence.ts
+++ b/delivery/src/attemptSequence.ts
@@ -75,14 +75,13 @@
                 );
             }
             const zones = avoidedZones.size > 0 ? { avoidedZones } : {};
-            const avoided = suspects.targetsToAvoid(admission.value);
             const acquire = () =>
                 this.opts.queue.acquire({
                     service,
                     workspace,
                     priority,
                     deadlineAt,
-                    excluded: new Set([...excluded, ...avoided]),
+                    excluded: suspects.withTargetsToAvoid(excluded, admission.value),
                     signal,
                     ...zones,
                 });
--- a/delivery/src/crashSuspects.ts
+++ b/delivery/src/crashSuspects.ts
@@ -94,11 +94,12 @@
     }
 
     /**
-     * Ids of targets that a request must not be sent to. In a turn these are the targets that were lost recently, as a
-     * further loss of one of them would be no evidence and let the request crash another target.
+     * Adds to the excluded targets those that the request must not be sent to. In a turn these are the targets that were
+     * lost recently, as a further loss of one of them would be no evidence and let the request crash another target.
      */
-    targetsToAvoid(admission: Admission): readonly string[] {
-        return admission === "turn" ? this.losses.recent : [];
+    withTargetsToAvoid(excluded: ReadonlySet<string>, admission: Admission): ReadonlySet<string> {
+        const avoided = admission === "turn" ? this.losses.recent : [];
+        return avoided.length === 0 ? excluded : new Set([...excluded, ...avoided]);
     }
 
     /**
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -86,7 +86,9 @@
         if (admission.isErr()) {
             return this.fail(progress, admission.error);
         }
-        const choice = placement.choose(placementOf(request, progress, suspects.targetsToAvoid(admission.value)));
+        const choice = placement.choose(
+            placementOf(request, suspects.withTargetsToAvoid(progress.excluded, admission.value)),
+        );
         if ("refusal" in choice) {
             this.endTurn(digest, admission.value, false);
             const failure = new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue");
@@ -222,7 +224,7 @@
     /** Whether to cancel a slow attempt: if another target can take the request at once. Takes a retry if so. */
     private shouldFailOver(request: RelayedRequest, progress: Progress): boolean {
         const { isLeaving, placement } = this.opts;
-        return !isLeaving() && "target" in placement.choose(placementOf(request, progress)) &&
+        return !isLeaving() && "target" in placement.choose(placementOf(request, progress.excluded)) &&
             this.tryTakeRetry(request, progress);
     }
 
@@ -270,18 +272,14 @@
     }
 }
 
-function placementOf(
-    request: RelayedRequest,
-    { excluded }: Progress,
-    avoided: readonly string[] = [],
-): PlacementRequest {
+function placementOf(request: RelayedRequest, excluded: ReadonlySet<string>): PlacementRequest {
     const { service, route, object, workspace, body, objectiveAt, deadlineAt } = request;
     return {
         service,
         route: route.name,
         object,
         regions: commonRegions(route.regions, workspace?.regions ?? []),
-        excluded: avoided.length === 0 ? excluded : new Set([...excluded, ...avoided]),
+        excluded,
         bodyBytes: body?.length ?? 0,
         objectiveMs: route.objectiveMs,
         objectiveAt,
