Decode what a response says of its target once, and log and count its changes

Load and cold time moved into the same typed statement; limit, leaving and pause are decoded, logged and counted, and not acted on yet. A response of another target at the same address (421) states nothing of the expected one. Invalid, negative, infinite and absurdly long values count as absent, with a counter and one line for each incarnation.

--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
     TargetHealth,
     TargetLoads,
     TargetRegistry,
+    TargetStatements,
     WarmObjects,
 } from "@pistachioreel/placement";
 import { listen, monotonicNow, parseEndpoint } from "@pistachioreel/runtime";
@@ -28,6 +29,7 @@
 import { RequestListener } from "./requestListener.js";
 import { RequestRelay } from "./requestRelay.js";
 import type { GatewaySettings } from "./settings.js";
+import { StatementLog } from "./statementLog.js";
 import { StoreGate } from "./storeGate.js";
 import { TargetConnectionPools } from "./targetConnectionPools.js";
 import { WarmObjectExchange } from "./warmObjectExchange.js";
@@ -65,6 +67,7 @@
     private readonly loads = new TargetLoads({ now: monotonicNow });
     private readonly warm = new WarmObjects();
     private readonly health = new TargetHealth({ now: monotonicNow });
+    private readonly statements: TargetStatements;
     private readonly mesh: WebSocketMesh;
     private readonly platformState: PlatformState;
     private readonly limits: WorkspaceLimits;
@@ -85,6 +88,7 @@
         const { metrics } = this;
         const { signal } = this.stopController;
         this.identity = { hostId, incarnation: newIncarnation(), availabilityZone, region };
+        this.statements = new TargetStatements({ observer: new StatementLog({ logger, metrics }), now: monotonicNow });
         this.mesh = this.createMesh();
         this.links = this.createLinks();
         const { mesh, links } = this;
@@ -278,14 +282,15 @@
 
     private createRelay(): RequestRelay {
         const { settings: { hostId, availabilityZone, region }, platform: { dialect }, logger } = this.opts;
-        const { registry, loads, warm, health, connectionPools, mesh } = this;
+        const { registry, loads, warm, health, statements, connectionPools, mesh } = this;
         const cold = new ColdTargetLimiter({
             hostId,
             hostIds: () => this.platformState.hostIds,
             limitOf: service => this.coldLimitOf(service),
             now: monotonicNow,
         });
-        const targetState = { registry, loads, warm, health, times: new ProcessingTimes(), cold, now: monotonicNow };
+        const times = new ProcessingTimes();
+        const targetState = { registry, loads, warm, health, times, cold, statements, now: monotonicNow };
         return new RequestRelay({
             ...targetState,
             dialect,
@@ -321,7 +326,8 @@
 
     private pruneTargets(): void {
         const { all } = this.registry;
-        [this.connectionPools, this.health, this.warm, this.loads].forEach(component => component.retain(all));
+        [this.connectionPools, this.health, this.warm, this.loads, this.statements]
+            .forEach(component => component.retain(all));
     }
 
     private applyHosts(hosts: readonly AnnouncedHost[]): void {
--- a/gateway/src/gatewayMetrics.ts
+++ b/gateway/src/gatewayMetrics.ts
@@ -24,6 +24,12 @@
         help: "Connections opened to targets",
         registers: [this.registry],
     });
+    readonly statements = new Counter({
+        name: "pistachioreel_gateway_target_statements_total",
+        help: "Changes of what targets state of themselves in responses, and invalid statements",
+        labelNames: ["statement"],
+        registers: [this.registry],
+    });
 
     constructor() {
         collectProcessMetrics(this.registry);
--- a/gateway/src/responseInterpretation.ts
+++ b/gateway/src/responseInterpretation.ts
@@ -1,4 +1,4 @@
-import type { ReportedLoad } from "@pistachioreel/placement";
+import type { TargetStatement } from "@pistachioreel/placement";
 
 /**
  * What status and headers of a target's response mean for the request.
@@ -11,7 +11,6 @@
  */
 export interface ResponseInterpretation {
     readonly outcome: "result" | "full" | "misdirected" | "unusable";
-    readonly load: ReportedLoad | undefined;
-    /** Time for which the target remains cold, in ms, if it reports it. */
-    readonly coldMs: number | undefined;
+    /** What the response says of its target; `undefined` if another target has sent it. */
+    readonly statement: TargetStatement | undefined;
 }
--- a/gateway/src/targetAttempt.ts
+++ b/gateway/src/targetAttempt.ts
@@ -7,6 +7,8 @@
     TargetHealth,
     TargetLoads,
     TargetRegistry,
+    TargetStatement,
+    TargetStatements,
     WarmObjects,
 } from "@pistachioreel/placement";
 import { AttemptCancellation } from "./attemptCancellation.js";
@@ -26,6 +28,7 @@
     readonly health: TargetHealth;
     readonly times: ProcessingTimes;
     readonly cold: ColdTargetLimiter;
+    readonly statements: TargetStatements;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -85,7 +88,7 @@
 
     /** Sends the request and waits for the response or the cancellation. To be called once. */
     async run({ signal, slowMs, shouldFailOver }: TargetAttemptOptions): Promise<AttemptEnd> {
-        const { connectionPools, dialect, loads } = this.context;
+        const { connectionPools, dialect } = this.context;
         const { target } = this;
         const deadlineMs = this.request.deadlineAt - this.startedAt;
         const cancellation = new AttemptCancellation({ signal, deadlineMs, slowMs, shouldFailOver });
@@ -98,8 +101,8 @@
         const result = await this.checkUnframedResponse(exchanged);
         cancellation.dispose();
         const interpretation = result.end === "answered" ? dialect.interpretResponse(result.response) : undefined;
-        if (interpretation?.load !== undefined) {
-            loads.report(target.id, interpretation.load);
+        if (interpretation?.statement !== undefined) {
+            this.recordStatement(interpretation.statement);
         }
         this.releaseLoad();
         this.recordOutcome(result, interpretation, cancellation.cancelledBy);
@@ -140,17 +143,26 @@
             : result;
     }
 
+    private recordStatement(statement: TargetStatement): void {
+        const { loads, registry, statements } = this.context;
+        const { load, coldMs } = statement;
+        if (load !== undefined) {
+            loads.report(this.target.id, load);
+        }
+        if (coldMs !== undefined && coldMs > 0) {
+            registry.recordCold(this.target, coldMs);
+        }
+        statements.record(this.target, statement, this.startedAt);
+    }
+
     private recordOutcome(
         result: ExchangeResult,
         interpretation: ResponseInterpretation | undefined,
         cancelledBy: AttemptCancellation["cancelledBy"],
     ): void {
-        const { registry, health, times, now } = this.context;
+        const { health, times, now } = this.context;
         const { target, choice: { isWarm, baseMs, expectedMs } } = this;
         const tookMs = now() - this.startedAt;
-        if (interpretation?.coldMs !== undefined && interpretation.coldMs > 0) {
-            registry.recordCold(target, interpretation.coldMs);
-        }
         if (result.end === "lost" && cancelledBy !== undefined && tookMs > SLOW_FACTOR * expectedMs) {
             health.recordLatencyRatio(target, tookMs / baseMs);
         }
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -27,7 +27,6 @@
 /** Options of a relay with four targets; all but the last have left, and others have their addresses. */
 function withReusedAddresses(): RelayOptions {
     const targets = ["t", "u", "v", "w"].map(id => newTarget(id));
-    const interpretation = { load: undefined, coldMs: undefined };
     return {
         targets,
         poolOf: ({ id }) => ({
@@ -38,7 +37,7 @@
         }),
         dialect: {
             interpretResponse: ({ status }) => ({
-                ...interpretation,
+                statement: undefined,
                 outcome: status === 421 ? "misdirected" : "result",
             }),
         },
--- a/placement/test/fixtures.ts
+++ b/placement/test/fixtures.ts
@@ -6,6 +6,7 @@
 import { TargetHealth } from "../src/targetHealth.js";
 import { TargetLoads } from "../src/targetLoads.js";
 import { TargetRegistry } from "../src/targetRegistry.js";
+import { TargetStatements } from "../src/targetStatements.js";
 import { WarmObjects } from "../src/warmObjects.js";
 
 /** A target that is not draining and not cold. */
@@ -57,12 +58,14 @@
     const now = () => clock.now;
     const registry = new TargetRegistry({ now });
     targets.forEach(target => registry.put(target));
+    const observer = { onStatement: () => undefined, onInvalidHeader: () => undefined };
     const parts = {
         registry,
         loads: new TargetLoads({ now }),
         warm: new WarmObjects(),
         health: new TargetHealth({ now }),
         times: new ProcessingTimes(),
+        statements: new TargetStatements({ observer, now }),
         cold: new ColdTargetLimiter({ hostId, hostIds: () => hostIds, limitOf: () => coldLimit, now }),
     };
     const placement = new Placement({ ...parts, availabilityZone: "n-a", region: "north", now, random: () => random });
