Keep the requests of all hosts to a target below the limit that it states

The adapter dropped the statement and no component held a limit: the rate at the two targets was 14.8/s and 18.2/s before the statement and 16.6/s and 14.5/s after it. Ruled out: a limit kept by each host alone (the line target-statement appears on all hosts and no code reads it), a path round the choice (first attempts, many objects).

Fix: a stated limit becomes a replicated token bucket, the mechanism that keeps the limits of workspaces over all hosts; use is reported in the same messages, so hosts of the old build ignore it. Placement takes a token for the target that it has chosen and otherwise passes on to the next best target of the object; with all targets at their limits the caller is refused at once with the time until a token. A host that learns of a limit estimates the demand of all hosts from its own and starts at a random time, so that a fleet does not send one request each before the first reports. A limit ends when a response to a request sent after the last statement has none.

--- a/bench/src/placementBench.ts
+++ b/bench/src/placementBench.ts
@@ -1,3 +1,4 @@
+import { ReplicatedLimits } from "@pistachioreel/limits";
 import {
     ColdTargetLimiter,
     Placement,
@@ -6,6 +7,7 @@
     type Target,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     TargetRegistry,
     WarmObjects,
 } from "@pistachioreel/placement";
@@ -29,7 +31,10 @@
     const warm = new WarmObjects();
     const hostIds = ["h0"];
     const cold = new ColdTargetLimiter({ hostId: "h0", hostIds: () => hostIds, limitOf: () => 10, now });
-    const parts = { registry, loads, warm, health: new TargetHealth({ now }), times: new ProcessingTimes(), cold, now };
+    const limits = new ReplicatedLimits({ hosts: () => ({ linked: 1, total: 1 }), now });
+    const rateLimits = new TargetRateLimits({ limits, hostCount: () => 1, now });
+    const health = new TargetHealth({ now });
+    const parts = { registry, loads, warm, health, times: new ProcessingTimes(), cold, rateLimits, now };
     const placement = new Placement({ ...parts, availabilityZone: "n-a", region: "north" });
     const choose = (object: string) => {
         const choice = placement.choose(newRequest(object));
--- a/fleet/src/fleetReport.ts
+++ b/fleet/src/fleetReport.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 
 const countsSchema = z.record(z.string(), z.number());
-/** Requests that were received and admitted, by workspace. */
+/** Requests that were received and admitted, by workspace, or by target if the target has stated a limit. */
 const usageSchema = z.record(z.string(), z.tuple([z.number(), z.number()]).readonly());
 
 /** State of several hosts, summed up by a relay. */
--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -1,4 +1,5 @@
 import { type FleetReport, fleetReportSchema, type FleetView, SummaryDeltas } from "@pistachioreel/fleet";
+import type { ReplicatedLimits } from "@pistachioreel/limits";
 import type { Logger } from "@pistachioreel/logging";
 import type { PeerIdentity, WebSocketMesh } from "@pistachioreel/peering";
 import type { TargetLoads } from "@pistachioreel/placement";
@@ -8,7 +9,6 @@
 import type { FeedReplication } from "./feedReplication.js";
 import { reportInterval } from "./reportInterval.js";
 import type { WarmObjectExchange } from "./warmObjectExchange.js";
-import type { WorkspaceLimits } from "./workspaceLimits.js";
 
 interface FleetExchangeOptions {
     readonly mesh: WebSocketMesh;
@@ -19,7 +19,7 @@
     readonly view: FleetView;
     readonly loads: TargetLoads;
     readonly warmObjects: WarmObjectExchange;
-    readonly limits: WorkspaceLimits;
+    readonly limits: ReplicatedLimits;
     readonly replication: FeedReplication;
     /** Monotonic time in ms at which the store last recovered; `undefined` while it is unreachable. */
     readonly storeRegainedAt: () => number | undefined;
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type { DesiredState } from "@pistachioreel/desired-state";
 import { FleetBroadcast, type FleetReport } from "@pistachioreel/fleet";
 import { ResponseMemory } from "@pistachioreel/forwarding";
+import { ReplicatedLimits } from "@pistachioreel/limits";
 import type { Logger } from "@pistachioreel/logging";
 import { newIncarnation, type PeerIdentity, WebSocketMesh } from "@pistachioreel/peering";
 import {
@@ -10,6 +11,7 @@
     ProcessingTimes,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     TargetRegistry,
     TargetStatements,
     WarmObjects,
@@ -70,7 +72,9 @@
     private readonly statements: TargetStatements;
     private readonly mesh: WebSocketMesh;
     private readonly platformState: PlatformState;
-    private readonly limits: WorkspaceLimits;
+    private readonly limits: ReplicatedLimits;
+    private readonly workspaceLimits: WorkspaceLimits;
+    private readonly rateLimits: TargetRateLimits;
     private readonly connectionPools: TargetConnectionPools;
     private readonly listener: RequestListener;
     private readonly gate = new StoreGate();
@@ -88,11 +92,21 @@
         const { metrics } = this;
         const { signal } = this.stopController;
         this.identity = { hostId, incarnation: newIncarnation(), availabilityZone, region };
-        this.statements = new TargetStatements({ observer: new StatementLog({ logger, metrics }), now: monotonicNow });
+        this.limits = new ReplicatedLimits({ hosts: () => this.hostCounts, now: monotonicNow });
+        this.workspaceLimits = new WorkspaceLimits(this.limits);
+        this.rateLimits = new TargetRateLimits({
+            limits: this.limits,
+            hostCount: () => this.hostCounts.total,
+            now: monotonicNow,
+        });
+        this.statements = new TargetStatements({
+            observer: new StatementLog({ logger, metrics }),
+            rateLimits: this.rateLimits,
+            now: monotonicNow,
+        });
         this.mesh = this.createMesh();
         this.links = this.createLinks();
         const { mesh, links } = this;
-        this.limits = new WorkspaceLimits({ hosts: () => this.hostCounts, now: monotonicNow });
         this.platformState = new PlatformState({
             feeds: platform,
             registry: this.registry,
@@ -119,7 +133,7 @@
         this.listener = new RequestListener({
             dialect,
             desiredState: () => this.platformState.stateInForce,
-            limits: this.limits,
+            limits: this.workspaceLimits,
             relay: this.createRelay(),
             metrics,
             logger,
@@ -282,7 +296,7 @@
 
     private createRelay(): RequestRelay {
         const { settings: { hostId, availabilityZone, region }, platform: { dialect }, logger } = this.opts;
-        const { registry, loads, warm, health, statements, connectionPools, mesh } = this;
+        const { registry, loads, warm, health, statements, rateLimits, connectionPools, mesh } = this;
         const cold = new ColdTargetLimiter({
             hostId,
             hostIds: () => this.platformState.hostIds,
@@ -290,7 +304,7 @@
             now: monotonicNow,
         });
         const times = new ProcessingTimes();
-        const targetState = { registry, loads, warm, health, times, cold, statements, now: monotonicNow };
+        const targetState = { registry, loads, warm, health, times, cold, statements, rateLimits, now: monotonicNow };
         return new RequestRelay({
             ...targetState,
             dialect,
@@ -321,7 +335,7 @@
 
     private applyDesiredState(state: DesiredState): void {
         this.listener.applyDesiredState(state);
-        this.limits.applyDesiredState(state);
+        this.workspaceLimits.applyDesiredState(state);
     }
 
     private pruneTargets(): void {
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -224,7 +224,7 @@
     /** Whether to cancel a slow attempt: if another target can take the request at once. Takes a retry if so. */
     private shouldFailOver(request: RelayedRequest, progress: Progress): boolean {
         const { isLeaving, placement } = this.opts;
-        return !isLeaving() && "target" in placement.choose(placementOf(request, progress.excluded)) &&
+        return !isLeaving() && placement.canChoose(placementOf(request, progress.excluded)) &&
             this.tryTakeRetry(request, progress);
     }
 
--- a/limits/src/replicatedTokenBucket.ts
+++ b/limits/src/replicatedTokenBucket.ts
@@ -14,6 +14,11 @@
     readonly burst: number;
     /** Part of rate and burst that the connected hosts may use, from 0 to 1. */
     readonly share: number;
+    /**
+     * Requests are thinned out to this multiple of the rate, so that the tokens and not the estimated demand decide. A higher
+     * one leaves fewer tokens unused, and lets more hosts take one at once.
+     */
+    readonly thinningMargin?: number;
 }
 
 /** Tokens that were requested from replicas and those taken from them. */
@@ -22,6 +27,13 @@
     readonly taken: number;
 }
 
+interface BucketStart {
+    /** Tokens requested by all hosts in the last seconds, as far as this host can tell; none by default. */
+    readonly recentDemand?: number;
+    /** Time until the first token is available, in ms; half of the burst is available at once by default. */
+    readonly delayMs?: number;
+}
+
 const MS_PER_SECOND = 1_000;
 /** Usable share of a large burst; the rest is a margin for the delay of other hosts' reports. */
 const USABLE_BURST_SHARE = 0.8;
@@ -30,8 +42,7 @@
 /** Initial fill level: a host that has just started does not know which tokens the others took recently. */
 const INITIAL_FILL_SHARE = 0.5;
 const DEMAND_TIME_CONSTANT_MS = 2_000;
-/** Requests are thinned out to this multiple of the rate, so that the tokens and not the estimated demand decide. */
-const THINNING_MARGIN = 1.05;
+const DEFAULT_THINNING_MARGIN = 1.05;
 
 /**
  * Token bucket of which every host keeps a replica. Each host takes tokens from its own replica and subtracts those
@@ -80,6 +91,14 @@
         this.isUnsized = false;
     }
 
+    /** Sets what this host assumes before the first reports of others. To be called once, after the first resize. */
+    start({ recentDemand = 0, delayMs }: BucketStart): void {
+        this.totalDemand.add(recentDemand);
+        if (delayMs !== undefined) {
+            this.tokens = 1 - delayMs * this.rate / MS_PER_SECOND;
+        }
+    }
+
     /** Takes a token if the replica has one and the request is not thinned out. */
     tryTake(): boolean {
         this.refill();
@@ -117,7 +136,8 @@
     }
 
     private get admittedFraction(): number {
-        return Math.min(1, THINNING_MARGIN * this.rate / this.totalDemand.rate);
+        const { thinningMargin = DEFAULT_THINNING_MARGIN } = this.size;
+        return Math.min(1, thinningMargin * this.rate / this.totalDemand.rate);
     }
 
     /** Time in which the rate admits what the estimated demand has too many, in ms. */
--- a/placement/src/index.ts
+++ b/placement/src/index.ts
@@ -9,6 +9,7 @@
 export { TargetHealth } from "./targetHealth.js";
 export { targetKey } from "./targetKey.js";
 export { TargetLoads } from "./targetLoads.js";
+export { TargetRateLimits } from "./targetRateLimits.js";
 export { TargetRegistry } from "./targetRegistry.js";
 export type { TargetStatement } from "./targetStatement.js";
 export { TargetStatements } from "./targetStatements.js";
--- a/placement/src/placement.ts
+++ b/placement/src/placement.ts
@@ -6,6 +6,7 @@
 import type { Target } from "./target.js";
 import type { TargetHealth } from "./targetHealth.js";
 import type { TargetLoads } from "./targetLoads.js";
+import type { TargetRateLimits } from "./targetRateLimits.js";
 import type { TargetRegistry } from "./targetRegistry.js";
 import type { WarmObjects } from "./warmObjects.js";
 
@@ -18,6 +19,7 @@
     readonly health: TargetHealth;
     readonly times: ProcessingTimes;
     readonly cold: ColdTargetLimiter;
+    readonly rateLimits: TargetRateLimits;
     /** Monotonic time in ms. */
     readonly now: () => number;
     /** Random numbers from 0 to below 1; `Math.random` by default. */
@@ -64,7 +66,10 @@
 const FULL_REQUESTS_PER_SLOT = 4;
 /** Share of the mean processing time that a fast request takes. */
 const MINIMUM_TIME_SHARE = 0.6;
-/** Refused callers are told to retry after one to two times this time, chosen at random to spread the retries. */
+/**
+ * Refused callers are told to retry after one to two times this time, or the time until a limited target may accept a
+ * request, chosen at random to spread the retries.
+ */
 const MIN_RETRY_AFTER_MS = 300;
 
 /** Chooses a target for each request by its expected response time, preferring targets where the object is warm. */
@@ -79,10 +84,41 @@
     }
 
     /**
-     * Chooses a target. Refuses if no target is available, if the targets of the object are too busy, or if even the
-     * minimum time of the chosen target exceeds the time until the deadline.
+     * Chooses a target and takes a token of its limit, if it has one. Refuses if no target is available, if the targets
+     * of the object are too busy, or if even the minimum time of the chosen target exceeds the time until the deadline.
      */
     choose(request: PlacementRequest): PlacementChoice {
+        return this.chooseWithinLimits(request, target => this.opts.rateLimits.tryTake(target));
+    }
+
+    /** Whether a target could be chosen now. */
+    canChoose(request: PlacementRequest): boolean {
+        return "target" in this.chooseWithinLimits(request, target => this.opts.rateLimits.waitMs(target) === 0);
+    }
+
+    /** Passes over targets whose limits leave no request for this host, to the next best target of the object. */
+    private chooseWithinLimits(request: PlacementRequest, isWithinLimit: (target: Target) => boolean): PlacementChoice {
+        const limited: Target[] = [];
+        for (;;) {
+            const excluded = limited.length === 0
+                ? request.excluded
+                : new Set([...request.excluded, ...limited.map(({ id }) => id)]);
+            const choice = this.chooseRegardlessOfLimits({ ...request, excluded });
+            if ("refusal" in choice) {
+                return limited.length === 0 ? choice : this.refuse("noRoom", this.shortestWaitMs(limited));
+            }
+            if (isWithinLimit(choice.target)) {
+                return choice;
+            }
+            limited.push(choice.target);
+        }
+    }
+
+    private shortestWaitMs(limited: readonly Target[]): number {
+        return Math.min(...limited.map(target => this.opts.rateLimits.waitMs(target)));
+    }
+
+    private chooseRegardlessOfLimits(request: PlacementRequest): PlacementChoice {
         const allowed = this.allowedTargets(request);
         const { object } = request;
         if (!allowed.some(target => this.isAvailable(target, request))) {
@@ -125,8 +161,8 @@
         return best.load < best.target.slots * MAX_REQUESTS_PER_SLOT ? best : undefined;
     }
 
-    private refuse(refusal: "noTarget" | "noRoom"): PlacementChoice {
-        return { refusal, retryAfterMs: MIN_RETRY_AFTER_MS * (1 + this.random()) };
+    private refuse(refusal: "noTarget" | "noRoom", waitMs = 0): PlacementChoice {
+        return { refusal, retryAfterMs: Math.max(waitMs, MIN_RETRY_AFTER_MS) * (1 + this.random()) };
     }
 
     /** Occasionally moves an object to a preferred target with far fewer warm objects, such as a new one. */
--- a/placement/src/targetStatements.ts
+++ b/placement/src/targetStatements.ts
@@ -1,10 +1,12 @@
 import type { StatementObserver } from "./statementObserver.js";
 import type { Target } from "./target.js";
 import { targetKey } from "./targetKey.js";
+import type { TargetRateLimits } from "./targetRateLimits.js";
 import type { TargetStatement } from "./targetStatement.js";
 
 interface TargetStatementsOptions {
     readonly observer: StatementObserver;
+    readonly rateLimits: TargetRateLimits;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -49,6 +51,7 @@
     retain(targets: readonly Target[]): void {
         const keys = new Set(targets.map(targetKey));
         [...this.conditions.keys()].filter(key => !keys.has(key)).forEach(key => this.conditions.delete(key));
+        this.opts.rateLimits.retain(targets);
     }
 
     private recordPause(target: Target, condition: StatedCondition, pauseMs: number): void {
@@ -73,6 +76,7 @@
         }
         if (limitPerSecond !== condition.limitPerSecond) {
             condition.limitPerSecond = limitPerSecond;
+            this.opts.rateLimits.set(target, limitPerSecond);
             this.opts.observer.onStatement(
                 target,
                 limitPerSecond === undefined ? "unlimited" : "limit",
--- a/placement/test/fixtures.ts
+++ b/placement/test/fixtures.ts
@@ -1,3 +1,4 @@
+import { ReplicatedLimits } from "@pistachioreel/limits";
 import { ColdTargetLimiter } from "../src/coldTargetLimiter.js";
 import { Placement } from "../src/placement.js";
 import type { PlacementRequest } from "../src/placementRequest.js";
@@ -5,6 +6,7 @@
 import type { Target } from "../src/target.js";
 import { TargetHealth } from "../src/targetHealth.js";
 import { TargetLoads } from "../src/targetLoads.js";
+import { TargetRateLimits } from "../src/targetRateLimits.js";
 import { TargetRegistry } from "../src/targetRegistry.js";
 import { TargetStatements } from "../src/targetStatements.js";
 import { WarmObjects } from "../src/warmObjects.js";
@@ -59,13 +61,17 @@
     const registry = new TargetRegistry({ now });
     targets.forEach(target => registry.put(target));
     const observer = { onStatement: () => undefined, onInvalidHeader: () => undefined };
+    const hosts = { linked: hostIds.length, total: hostIds.length };
+    const limits = new ReplicatedLimits({ hosts: () => hosts, now });
+    const rateLimits = new TargetRateLimits({ limits, hostCount: () => hosts.total, now });
     const parts = {
+        rateLimits,
         registry,
         loads: new TargetLoads({ now }),
         warm: new WarmObjects(),
         health: new TargetHealth({ now }),
         times: new ProcessingTimes(),
-        statements: new TargetStatements({ observer, now }),
+        statements: new TargetStatements({ observer, rateLimits, now }),
         cold: new ColdTargetLimiter({ hostId, hostIds: () => hostIds, limitOf: () => coldLimit, now }),
     };
     const placement = new Placement({ ...parts, availabilityZone: "n-a", region: "north", now, random: () => random });
