Close a connection after a refusal that names no request, which could be repeated

Cause: targets need not name the request in a refusal, so any refusal was taken for that of the request in progress. Fix: such a refusal counts for the request in progress, as nothing of its kind can have come before on the connection, and the connection is closed after it. Marking the attempt as possibly run instead would turn refusals of requests that must run once, which are retried elsewhere, into 502.

A response that ends within its head was already handled: a test cuts one at each byte.

--- a/delivery/src/attempt.ts
+++ b/delivery/src/attempt.ts
@@ -73,11 +73,16 @@
         this.opts.onProgress();
         const rawHeaders = (controller.rawHeaders as Buffer[] | undefined)?.map(String) ?? [];
         this.head = { status, headers: returnedHeaders(rawHeaders) };
-        this.refused = status === 503 && headerValue(rawHeaders, NOT_RUN_HEADER) !== undefined;
         const responseRequestId = headerValue(rawHeaders, REQUEST_ID_HEADER);
+        this.refused = status === 503 && headerValue(rawHeaders, NOT_RUN_HEADER) !== undefined;
         if (responseRequestId !== undefined && responseRequestId !== this.opts.requestId) {
             controller.abort(new StrayResponse("the response carries the id of another request"));
         }
+        else if (this.refused && responseRequestId === undefined) {
+            // The connection is closed, since the same refusal, repeated, would be taken for one of the next request.
+            this.end({ end: "refused" });
+            controller.abort(new Error("the refusal names no request"));
+        }
         else if (!this.isFramed(rawHeaders)) {
             this.unframed = true;
             controller.abort(new Error("the response has neither a content length nor a transfer encoding"));
--- a/forwarding/src/responseMatcher.ts
+++ b/forwarding/src/responseMatcher.ts
@@ -2,10 +2,16 @@
 export interface ResponseMatcher {
     /**
      * - `own`: the response belongs to the request.
+     * - `unattributed`: the response names no request, as refusals may. It belongs to the request in progress if it is the
+     *   first of its kind on the connection; later ones could be repeated, so the connection is closed after it.
      * - `stray`: the response belongs to an earlier request and must be skipped.
      * - `invalid`: the response cannot be attributed to any request; the connection must be closed.
      *
      * @param headers Alternating names and values.
      */
-    matchResponse(requestId: string, status: number, headers: readonly string[]): "own" | "stray" | "invalid";
+    matchResponse(
+        requestId: string,
+        status: number,
+        headers: readonly string[],
+    ): "own" | "unattributed" | "stray" | "invalid";
 }
--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -114,10 +114,10 @@
             this.state = "invalid";
             return;
         }
-        this.messageKind = matched;
+        this.messageKind = matched === "unattributed" ? "own" : matched;
         this.status = statusCode;
         this.headers = headers;
-        this.keepAlive = shouldKeepAlive;
+        this.keepAlive = shouldKeepAlive && matched !== "unattributed";
         const isBodiless = this.opts.method === "HEAD" || statusCode === 204 || statusCode === 304;
         this.isFramed = isBodiless || headerValue(headers, "content-length") !== undefined ||
             headerValue(headers, "transfer-encoding") !== undefined;
--- a/forwarding/test/targetConnection.test.ts
+++ b/forwarding/test/targetConnection.test.ts
@@ -10,7 +10,10 @@
 const matcher: ResponseMatcher = {
     matchResponse(requestId, _status, headers) {
         const id = headerValue(headers, "x-id");
-        return id === undefined ? "invalid" : id === requestId ? "own" : "stray";
+        if (id === undefined) {
+            return headerValue(headers, "x-refused") === undefined ? "invalid" : "unattributed";
+        }
+        return id === requestId ? "own" : "stray";
     },
 };
 
@@ -159,6 +162,28 @@
         assert.ok(hasClosed);
     });
 
+    it("reads no response after a refusal without an id, which could be a repeated one", async () => {
+        const refusal = "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n";
+        behave = (socket, id) => id === "first" ? socket.write(refusal) : socket.write(refusal + response(id));
+        const pool = newPool();
+        connections = 0;
+        assert.equal((await exchange(pool, "first")).end, "answered");
+        await exchange(pool, "second");
+        assert.equal(connections, 2);
+        pool.close();
+    });
+
+    it("takes no response for complete that ends within its head", async () => {
+        const complete = "HTTP/1.1 200 OK\r\nX-Id: cut\r\n\r\n";
+        const pool = newPool();
+        for (let length = 0; length < complete.length; length++) {
+            behave = socket => socket.end(complete.slice(0, length));
+            const result = await exchange(pool, "cut");
+            assert.equal(result.end, "lost", `${length} bytes of ${complete.length}`);
+        }
+        pool.close();
+    });
+
     it("sends a body with its Content-Length", async () => {
         let seen = "";
         const echo = createServer(socket => {
--- a/testing/src/targetStandIn.ts
+++ b/testing/src/targetStandIn.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import { appendFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { TargetRecord } from "./targetRecord.js";
 
@@ -13,6 +14,8 @@
     readonly coldRequests: number;
     /** Refuse all requests as not run. */
     readonly sheds: boolean;
+    /** Refuse the first request of each connection, and write that refusal once more before running the next one. */
+    readonly repeatsRefusals: boolean;
     /** Report `draining` and refuse new requests. */
     readonly drains: boolean;
     /** Minimum size of response bodies in bytes; shorter ones are padded with spaces. */
@@ -49,6 +52,7 @@
     coldMs: 0,
     coldRequests: 0,
     sheds: false,
+    repeatsRefusals: false,
     drains: false,
     responseBytes: 0,
     cutAfterBytes: 0,
@@ -59,6 +63,9 @@
     crashOn: "",
 };
 
+/** A refusal does not name its request. */
+const RAW_REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
 /** Test double of a target: takes a configured time for each request, echoes what it received and records the run. */
 export class TargetStandIn {
     readonly server: Server;
@@ -66,6 +73,8 @@
     private runningCount = 0;
     private servedCount = 0;
     private connectionCount = 0;
+    /** Connections on which a request has been refused. */
+    private readonly refusedOn = new WeakSet<Socket>();
 
     constructor(private readonly opts: TargetStandInOptions) {
         this.behaviour = { ...DEFAULT_BEHAVIOUR, ...opts.behaviour };
@@ -86,15 +95,25 @@
             this.behaviour = { ...this.behaviour, ...JSON.parse((await readBody(request)).toString()) as object };
             response.end();
         }
-        else if (this.behaviour.sheds || this.behaviour.drains || this.runningCount >= this.opts.slots) {
+        else if (this.refuses(request)) {
             request.resume();
+            this.refusedOn.add(request.socket);
             response.writeHead(503, { "x-not-run": "1" }).end();
         }
         else {
+            if (this.behaviour.repeatsRefusals) {
+                request.socket.write(RAW_REFUSAL);
+            }
             await this.runRequest(request, response);
         }
     }
 
+    private refuses({ socket }: IncomingMessage): boolean {
+        const { sheds, drains, repeatsRefusals } = this.behaviour;
+        return sheds || drains || this.runningCount >= this.opts.slots ||
+            repeatsRefusals && !this.refusedOn.has(socket);
+    }
+
     /** Runs a request and records its start and its end or cancellation. */
     private async runRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const marker = String(request.headers["x-marker"] ?? "");
