Refuse requests late in a planned stop that are unlikely to end before the host does

Report of another operator: in a planned stop, requests that came late in the grace time were passed on and cut at its end, among them ones that must not be repeated.

Cause: callers are served for 60 % of the stop timeout, whatever their requests take; the host ends at the latest 0.8 s before the timeout. Fix: while the host shuts down, a request is sent only if its deadline comes first or three times its expected time are left; otherwise it is refused at once as not run (3016), to be sent to another host without waiting.

--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -84,6 +84,8 @@
     private readonly exchange: FleetExchange;
     private readonly auxiliaryServers: AuxiliaryServers;
     private isLeaving = false;
+    /** Monotonic time in ms at which requests are cut off; infinite unless this host is shutting down. */
+    private endsAt = Infinity;
 
     constructor(private readonly opts: GatewayOptions) {
         const { settings, platform, logger } = opts;
@@ -219,6 +221,7 @@
         const { settings: { stopTimeout: stopTimeoutMs }, logger } = this.opts;
         const drain = new ListenerDrain({ listener: this.listener, stopTimeoutMs, now: monotonicNow });
         this.isLeaving = true;
+        this.endsAt = drain.endsAt;
         this.listener.startLeaving();
         this.exchange.sendReports();
         logger.info({ event: "host-leaving", fields: { running: this.listener.running } });
@@ -318,7 +321,7 @@
                 now: monotonicNow,
             }),
             retryBudget: () => this.newRetryBudget(),
-            isLeaving: () => this.isLeaving,
+            endsAt: () => this.endsAt,
             logger,
         });
     }
--- a/gateway/src/listenerDrain.ts
+++ b/gateway/src/listenerDrain.ts
@@ -26,15 +26,20 @@
         this.startedAt = opts.now();
     }
 
+    /** Monotonic time in ms at which requests that are still running are cut off. */
+    get endsAt(): number {
+        return this.startedAt + this.opts.stopTimeoutMs - STOP_MARGIN_MS;
+    }
+
     /**
      * Serves callers until they have disconnected, closes the listener and waits for the running requests. Returns
      * whether all of them have ended in time.
      */
     async run(): Promise<boolean> {
-        const { listener, stopTimeoutMs } = this.opts;
+        const { listener } = this.opts;
         await this.waitForCallersToLeave();
         listener.server.close();
-        while (listener.running > 0 && this.elapsedMs < stopTimeoutMs - STOP_MARGIN_MS) {
+        while (listener.running > 0 && this.opts.now() < this.endsAt) {
             await sleep(POLL_INTERVAL_MS);
         }
         return listener.running === 0;
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -15,8 +15,11 @@
     readonly suspects: CrashSuspects;
     /** Creates the retry budget of a service. */
     readonly retryBudget: () => RetryBudget;
-    /** Whether this host is shutting down; it then cancels no slow attempts. */
-    readonly isLeaving: () => boolean;
+    /**
+     * Monotonic time in ms at which this host ends; infinite unless it is shutting down. It then cancels no slow attempts, and
+     * sends no request that is unlikely to end before.
+     */
+    readonly endsAt: () => number;
     readonly logger: Logger;
 }
 
@@ -40,6 +43,8 @@
 const FAILOVER_FACTOR = 4;
 /** An attempt is not cancelled as slow before this time. */
 const MIN_ATTEMPT_MS = 500;
+/** While the host shuts down, a request is sent only if this many times its expected time are left. */
+const LATE_REQUEST_FACTOR = 3;
 /** Time for which a target that has refused a request counts as full. */
 const FULL_TARGET_BACKOFF_MS = 60;
 
@@ -94,6 +99,10 @@
             const failure = new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue");
             return this.fail(progress, failure, { retryAfterMs: choice.retryAfterMs });
         }
+        if (!this.canEndInTime(request, choice.expectedMs)) {
+            this.endTurn(digest, admission.value, false);
+            return this.fail(progress, new Failure("hostLeaving"), { retryAfterMs: 0 });
+        }
         const attempt = new TargetAttempt(this.opts, request, choice);
         const { id } = attempt.target;
         progress.excluded.add(id);
@@ -221,10 +230,16 @@
         return { response, sends: progress.sends, target: target.id };
     }
 
+    /** Whether a request is likely to end before this host does, which would leave its caller without a response. */
+    private canEndInTime({ deadlineAt }: RelayedRequest, expectedMs: number): boolean {
+        const { endsAt, now } = this.opts;
+        return deadlineAt <= endsAt() || LATE_REQUEST_FACTOR * expectedMs <= endsAt() - now();
+    }
+
     /** Whether to cancel a slow attempt: if another target can take the request at once. Takes a retry if so. */
     private shouldFailOver(request: RelayedRequest, progress: Progress): boolean {
-        const { isLeaving, placement } = this.opts;
-        return !isLeaving() && placement.canChoose(placementOf(request, progress.excluded)) &&
+        const { endsAt, placement } = this.opts;
+        return endsAt() === Infinity && placement.canChoose(placementOf(request, progress.excluded)) &&
             this.tryTakeRetry(request, progress);
     }
 
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -13,6 +13,9 @@
 /** Longer than the time after which a slow attempt is cancelled. */
 const DEADLINE_MS = 1_500;
 
+/** Time left to a host that is leaving; longer than any request of these tests. */
+const LEAVING_MS = 60_000;
+
 interface RelayOptions {
     /** Result of an exchange that is aborted. */
     readonly end?: "unsent" | "lost";
@@ -67,7 +70,7 @@
         connectionPools: { poolOf: opts.poolOf ?? (() => pool) } as unknown as TargetConnectionPools,
         suspects: new CrashSuspects({ hostId: "h1", observe: () => undefined, now }),
         retryBudget: () => new RetryBudget({ now, ...(hasBudget ? {} : { share: 0, minPerSecond: 0 }) }),
-        isLeaving: () => isLeaving,
+        endsAt: () => isLeaving ? performance.now() + LEAVING_MS : Infinity,
         logger: new Logger("relay-test", { write: () => undefined }),
         now,
     });
