--- a/fleet/src/fleetReport.ts
+++ b/fleet/src/fleetReport.ts
@@ -1,3 +1,4 @@
+import { sharedStatementSchema } from "@pistachioreel/placement";
 import { z } from "zod";
 
 const countsSchema = z.record(z.string(), z.number());
@@ -35,6 +36,8 @@
     changeCounts: z.record(z.string(), z.number()).optional(),
     /** Pairs of a target's key and an object that the target has started to handle. */
     warmed: z.array(z.tuple([z.string(), z.string()])),
+    /** What targets have stated of themselves, where it has changed; absent from hosts that do not know of statements. */
+    stated: z.array(sharedStatementSchema).optional(),
     /**
      * For a host of another availability zone: all hosts of the sender's zone. From a relay to a host of its own zone:
      * all hosts of the fleet but the sender and the receiver.
--- a/gateway/src/fleetExchange.ts
+++ b/gateway/src/fleetExchange.ts
@@ -8,6 +8,7 @@
 import { z } from "zod";
 import type { FeedReplication } from "./feedReplication.js";
 import { reportInterval } from "./reportInterval.js";
+import type { StatementExchange } from "./statementExchange.js";
 import type { WarmObjectExchange } from "./warmObjectExchange.js";
 
 interface FleetExchangeOptions {
@@ -19,6 +20,7 @@
     readonly view: FleetView;
     readonly loads: TargetLoads;
     readonly warmObjects: WarmObjectExchange;
+    readonly statements: StatementExchange;
     readonly limits: ReplicatedLimits;
     readonly replication: FeedReplication;
     /** Monotonic time in ms at which the store last recovered; `undefined` while it is unreachable. */
@@ -78,22 +80,25 @@
     /** Sends a complete report to a host that has just been linked. */
     handleLinked(hostId: string): void {
         this.deltas.forget(hostId);
+        this.opts.statements.handleLinked(hostId);
         this.report(() => this.opts.mesh.sendHeartbeat(hostId));
         void this.opts.warmObjects.handleLinked(hostId);
     }
 
     /** Forgets a host whose link has closed. */
     handleLost(hostId: string): void {
-        const { view, warmObjects, limits } = this.opts;
+        const { view, warmObjects, statements, limits } = this.opts;
         view.forget(hostId);
         warmObjects.forget(hostId);
+        statements.forget(hostId);
         limits.resize();
     }
 
     private report(send: () => void): void {
-        const { view, state, callers, loads, limits, warmObjects } = this.opts;
+        const { view, state, callers, loads, limits, warmObjects, statements } = this.opts;
         view.setOwn({ state: state(), callers, running: Object.fromEntries(loads.running), admitted: limits.usage() });
         warmObjects.collect();
+        statements.collect();
         this.isReporting = true;
         try {
             send();
@@ -119,6 +124,7 @@
 
     private buildReport(to: PeerIdentity): FleetReport {
         const { state, callers, availabilityZone, view, loads, warmObjects, limits, replication } = this.opts;
+        const stated = this.opts.statements.takeStatementsFor(to);
         const isOwnZone = to.availabilityZone === availabilityZone;
         const summary = view.summaryFor(to);
         return {
@@ -128,6 +134,7 @@
             admitted: isOwnZone ? this.deltas.changedUsage(to.hostId, limits.usage()) : {},
             revisions: replication.revisions,
             warmed: warmObjects.takePairsFor(to),
+            ...(stated.length > 0 ? { stated } : {}),
             ...(isOwnZone ? { changeCounts: replication.changeCounts } : {}),
             ...(summary === undefined ? {} : { summary: this.deltas.reduce(to.hostId, summary) }),
             ...this.storeState,
@@ -143,7 +150,7 @@
     }
 
     private handleReport(from: PeerIdentity, payload: unknown): void {
-        const { logger, view, limits, warmObjects, replication } = this.opts;
+        const { logger, view, limits, warmObjects, statements, replication } = this.opts;
         const parsed = fleetReportSchema.safeParse(payload);
         if (!parsed.success) {
             logger.warn({ event: "peer-report-invalid", fields: { peer: from.hostId } });
@@ -156,6 +163,7 @@
             limits.resize();
         }
         warmObjects.receive(from, report.warmed);
+        statements.receive(from, report.stated ?? []);
         replication.handleReport(from, report.revisions, report.changeCounts ?? {});
     }
 }
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -5,17 +5,7 @@
 import { ReplicatedLimits } from "@pistachioreel/limits";
 import type { Logger } from "@pistachioreel/logging";
 import { newIncarnation, type PeerIdentity, WebSocketMesh } from "@pistachioreel/peering";
-import {
-    ColdTargetLimiter,
-    Placement,
-    ProcessingTimes,
-    TargetHealth,
-    TargetLoads,
-    TargetRateLimits,
-    TargetRegistry,
-    TargetStatements,
-    WarmObjects,
-} from "@pistachioreel/placement";
+import { ColdTargetLimiter, Placement } from "@pistachioreel/placement";
 import { listen, monotonicNow, parseEndpoint } from "@pistachioreel/runtime";
 import type { AnnouncedHost } from "./announcedHost.js";
 import { AuxiliaryServers } from "./auxiliaryServers.js";
@@ -31,9 +21,11 @@
 import { RequestListener } from "./requestListener.js";
 import { RequestRelay } from "./requestRelay.js";
 import type { GatewaySettings } from "./settings.js";
+import { StatementExchange } from "./statementExchange.js";
 import { StatementLog } from "./statementLog.js";
 import { StoreGate } from "./storeGate.js";
 import { TargetConnectionPools } from "./targetConnectionPools.js";
+import { TargetState } from "./targetState.js";
 import { WarmObjectExchange } from "./warmObjectExchange.js";
 import { WorkspaceLimits } from "./workspaceLimits.js";
 
@@ -65,16 +57,11 @@
 export class Gateway {
     private readonly metrics = new GatewayMetrics();
     private readonly stopController = new AbortController();
-    private readonly registry = new TargetRegistry({ now: monotonicNow });
-    private readonly loads = new TargetLoads({ now: monotonicNow });
-    private readonly warm = new WarmObjects();
-    private readonly health = new TargetHealth({ now: monotonicNow });
-    private readonly statements: TargetStatements;
     private readonly mesh: WebSocketMesh;
     private readonly platformState: PlatformState;
     private readonly limits: ReplicatedLimits;
     private readonly workspaceLimits: WorkspaceLimits;
-    private readonly rateLimits: TargetRateLimits;
+    private readonly targets: TargetState;
     private readonly connectionPools: TargetConnectionPools;
     private readonly listener: RequestListener;
     private readonly gate = new StoreGate();
@@ -96,14 +83,10 @@
         this.identity = { hostId, incarnation: newIncarnation(), availabilityZone, region };
         this.limits = new ReplicatedLimits({ hosts: () => this.hostCounts, now: monotonicNow });
         this.workspaceLimits = new WorkspaceLimits(this.limits);
-        this.rateLimits = new TargetRateLimits({
+        this.targets = new TargetState({
             limits: this.limits,
             hostCount: () => this.hostCounts.total,
-            now: monotonicNow,
-        });
-        this.statements = new TargetStatements({
             observer: new StatementLog({ logger, metrics }),
-            rateLimits: this.rateLimits,
             now: monotonicNow,
         });
         this.mesh = this.createMesh();
@@ -111,7 +94,7 @@
         const { mesh, links } = this;
         this.platformState = new PlatformState({
             feeds: platform,
-            registry: this.registry,
+            registry: this.targets.registry,
             hostId,
             drainBoundMs: settings.drainBound,
             gate: this.gate,
@@ -163,13 +146,20 @@
             callers,
             availabilityZone,
             view: links.view,
-            loads: this.loads,
+            loads: this.targets.loads,
             warmObjects: new WarmObjectExchange({
                 mesh,
-                warm: this.warm,
+                warm: this.targets.warm,
                 availabilityZone,
                 isRelay: () => links.isRelay,
             }),
+            statements: new StatementExchange({
+                mesh,
+                statements: this.targets.statements,
+                availabilityZone,
+                isRelay: () => links.isRelay,
+                now: monotonicNow,
+            }),
             limits: this.limits,
             replication: this.replication,
             storeRegainedAt: () => this.platformState.storeRegainedAt,
@@ -276,7 +266,7 @@
 
     private createLinks(): FleetLinks {
         const { hostId, availabilityZone, region, isFirstStart } = this.opts.settings;
-        const { mesh, gate, loads } = this;
+        const { mesh, gate, targets: { loads } } = this;
         return new FleetLinks({
             hostId,
             availabilityZone,
@@ -299,14 +289,14 @@
 
     private createRelay(): RequestRelay {
         const { settings: { hostId, availabilityZone, region }, platform: { dialect }, logger } = this.opts;
-        const { registry, loads, warm, health, statements, rateLimits, connectionPools, mesh } = this;
+        const { registry, loads, warm, health, times, statements, rateLimits } = this.targets;
+        const { connectionPools, mesh } = this;
         const cold = new ColdTargetLimiter({
             hostId,
             hostIds: () => this.platformState.hostIds,
             limitOf: service => this.coldLimitOf(service),
             now: monotonicNow,
         });
-        const times = new ProcessingTimes();
         const targetState = { registry, loads, warm, health, times, cold, statements, rateLimits, now: monotonicNow };
         return new RequestRelay({
             ...targetState,
@@ -342,9 +332,8 @@
     }
 
     private pruneTargets(): void {
-        const { all } = this.registry;
-        [this.connectionPools, this.health, this.warm, this.loads, this.statements]
-            .forEach(component => component.retain(all));
+        this.targets.prune();
+        this.connectionPools.retain(this.targets.registry.all);
     }
 
     private applyHosts(hosts: readonly AnnouncedHost[]): void {
@@ -376,7 +365,7 @@
     private registerGauges(): void {
         const { metrics } = this;
         metrics.addGauge("running_requests", "Requests that are running", () => this.listener.running);
-        metrics.addGauge("targets", "Targets that are known", () => this.registry.size);
+        metrics.addGauge("targets", "Targets that are known", () => this.targets.registry.size);
         metrics.addGauge(
             "known_hosts",
             "Hosts whose requests are known, this one included",
--- /dev/null
+++ b/gateway/src/targetState.ts
@@ -0,0 +1,46 @@
+import type { ReplicatedLimits } from "@pistachioreel/limits";
+import {
+    ProcessingTimes,
+    type StatementObserver,
+    TargetHealth,
+    TargetLoads,
+    TargetRateLimits,
+    TargetRegistry,
+    TargetStatements,
+    WarmObjects,
+} from "@pistachioreel/placement";
+
+interface TargetStateOptions {
+    /** Limits that the hosts share. */
+    readonly limits: ReplicatedLimits;
+    /** Number of hosts that send requests, this one included. */
+    readonly hostCount: () => number;
+    readonly observer: StatementObserver;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+/** All that a host knows of the targets. */
+export class TargetState {
+    readonly registry: TargetRegistry;
+    readonly loads: TargetLoads;
+    readonly warm = new WarmObjects();
+    readonly health: TargetHealth;
+    readonly times = new ProcessingTimes();
+    readonly rateLimits: TargetRateLimits;
+    readonly statements: TargetStatements;
+
+    constructor({ limits, hostCount, observer, now }: TargetStateOptions) {
+        this.registry = new TargetRegistry({ now });
+        this.loads = new TargetLoads({ now });
+        this.health = new TargetHealth({ now });
+        this.rateLimits = new TargetRateLimits({ limits, hostCount, now });
+        this.statements = new TargetStatements({ observer, rateLimits: this.rateLimits, now });
+    }
+
+    /** Removes what is known of targets that are not registered. */
+    prune(): void {
+        const { all } = this.registry;
+        [this.health, this.warm, this.loads, this.statements].forEach(component => component.retain(all));
+    }
+}
--- a/placement/src/targetRateLimits.ts
+++ b/placement/src/targetRateLimits.ts
@@ -25,7 +25,7 @@
 /** Targets tolerate some requests above their limit for a short time, so few of the tokens need to stay unused. */
 const THINNING_MARGIN = 1.5;
 /** All hosts together still send this many requests per second to a target that accepts none, to see whether it does again. */
-const MIN_RATE_PER_SECOND = 0.2;
+const MIN_REQUESTS_PER_SECOND = 0.2;
 /** Hosts that learn of a limit at the same moment send their first requests within this time, spread at random. */
 const MAX_START_DELAY_MS = 1_500;
 const DEMAND_TIME_CONSTANT_MS = 2_000;
@@ -57,7 +57,7 @@
         }
         const name = `${NAME_PREFIX}${key}`;
         this.limited.set(key, { name, isLimited: true });
-        const rate = Math.max(perSecond, MIN_RATE_PER_SECOND);
+        const rate = Math.max(perSecond, MIN_REQUESTS_PER_SECOND);
         const hosts = this.opts.hostCount();
         const delayMs = this.random() * Math.min(MAX_START_DELAY_MS, (hosts - 1) / rate * MS_PER_SECOND);
         const recentDemand = (this.demands.get(key)?.rate ?? 0) * DEMAND_TIME_CONSTANT_MS / MS_PER_SECOND * hosts;
