--- a/limits/test/simulateFleetLimit.ts
+++ b/limits/test/simulateFleetLimit.ts
@@ -1,4 +1,5 @@
 import { ReplicatedTokenBucket } from "../src/replicatedTokenBucket.js";
+import { seededRandom } from "./seededRandom.js";
 
 const DEFAULT_RATE = 100;
 const WINDOW_MS = 5_000;
@@ -83,12 +84,3 @@
     const mostTolerated = (rate * WINDOW_MS / MS_PER_SECOND + rate) * 1.1 + 20;
     return { requested, admitted: admittedAt.length, mostAdmitted, mostTolerated };
 }
-
-/** Pseudo-random numbers from 0 to below 1, the same for the same seed. */
-function seededRandom(seed: number): () => number {
-    let state = seed;
-    return () => {
-        state = state * 48_271 % 0x7fff_ffff;
-        return state / 0x7fff_ffff;
-    };
-}
--- a/placement/test/simulateLimitedTarget.ts
+++ b/placement/test/simulateLimitedTarget.ts
@@ -1,4 +1,5 @@
 import { ReplicatedLimits } from "@pistachioreel/limits";
+import { seededRandom } from "../../limits/test/seededRandom.js";
 import { targetKey } from "../src/targetKey.js";
 import { TargetRateLimits } from "../src/targetRateLimits.js";
 import { newTarget } from "./fixtures.js";
@@ -104,12 +105,3 @@
     }
     return count;
 }
-
-/** Pseudo-random numbers from 0 to below 1, the same for the same seed. */
-function seededRandom(seed: number): () => number {
-    let state = seed;
-    return () => {
-        state = state * 48_271 % 0x7fff_ffff;
-        return state / 0x7fff_ffff;
-    };
-}
