Remember that a target is leaving after its entry is gone, as a stale source may bring the entry back

Found in the read-through: the gateway drops what it knows of targets whose entries are removed, so an entry that is read again from a source that is behind would have made a target of the same incarnation usable again. The test of it did not prune as the gateway does; it does now and failed before. What is kept is one record of a target for ten minutes.

--- a/placement/src/targetStatements.ts
+++ b/placement/src/targetStatements.ts
@@ -26,6 +26,9 @@
     readonly reportedHeaders: Set<string>;
 }
 
+/** Longer than any source of entries is behind. */
+const LEAVING_MEMORY_MS = 600_000;
+
 /**
  * What each incarnation of a target has stated of itself in its responses. That it is leaving and its limit hold for all
  * hosts, which tell each other; a pause holds only for the host to which the target has responded.
@@ -120,10 +123,19 @@
         return condition === undefined ? 0 : condition.leavingSince < Infinity ? Infinity : condition.pause.remainingMs;
     }
 
-    /** Removes the statements of all other targets. */
+    /**
+     * Removes the statements of all other targets, but for those that have said recently that they are leaving: a stale source
+     * may bring back their entries.
+     */
     retain(targets: readonly Target[]): void {
         const keys = new Set(targets.map(targetKey));
-        [...this.conditions.keys()].filter(key => !keys.has(key)).forEach(key => this.conditions.delete(key));
+        const oldest = this.opts.now() - LEAVING_MEMORY_MS;
+        for (const [key, { leavingSince }] of this.conditions) {
+            const hasLeftRecently = leavingSince < Infinity && leavingSince > oldest;
+            if (!keys.has(key) && !hasLeftRecently) {
+                this.conditions.delete(key);
+            }
+        }
         this.opts.rateLimits.retain(targets);
     }
 
--- a/placement/test/targetStatements.test.ts
+++ b/placement/test/targetStatements.test.ts
@@ -31,9 +31,10 @@
 
 describe("statements of targets", () => {
     it("keep a leaving target out of every choice, retries included, also if its entry is read again", () => {
-        const { target, state, choose, registry } = newStatedHost();
+        const { target, state, choose, registry, statements } = newStatedHost();
         state({ isLeaving: true });
         registry.remove(target.id);
+        statements.retain(registry.all);
         registry.put(target);
         assert.ok("refusal" in choose());
         assert.ok("target" in choose([]));
