--- a/bench/src/limitedTargetsBench.ts
+++ b/bench/src/limitedTargetsBench.ts
@@ -28,7 +28,7 @@
     try {
         await fleet.load({ perSecond: REQUESTS_PER_SECOND, durationMs: WARM_UP_MS });
         const limited = fleet.servers.slice(0, limitedCount);
-        limited.forEach(server => server.statements = { "Server-Limit": String(LIMIT_PER_SECOND) });
+        limited.forEach(server => server.stateLimit(LIMIT_PER_SECOND));
         await fleet.load({ perSecond: REQUESTS_PER_SECOND, durationMs: SETTLE_MS });
         const from = performance.now();
         const responses = await fleet.load({ perSecond: REQUESTS_PER_SECOND, durationMs: STEADY_MS });
--- a/scripts/checkNames.mjs
+++ b/scripts/checkNames.mjs
@@ -4,7 +4,7 @@
 
 // Header names, paths and fields of the users' platform. Only the adapter may depend on them.
 const PLATFORM_NAMES =
-    /x-expect-instance|x-server-stamp|x-server-load|x-affinity-key|x-tenant|x-instance-id|x-cold-ms|\/objects\b|api_keys|traffic_split|cold_left|max_conns|path_prefix|allowed_regions|store_revision|has_more|rate_per_s|\/resolve\b|target_latency|sticky_sessions/i;
+    /x-expect-instance|x-server-stamp|x-server-load|x-affinity-key|x-tenant|x-instance-id|x-cold-ms|server-leaving|server-limit|\/objects\b|api_keys|traffic_split|cold_left|max_conns|path_prefix|allowed_regions|store_revision|has_more|rate_per_s|\/resolve\b|target_latency|sticky_sessions/i;
 const ADAPTER = "platform";
 
 const packages = JSON.parse(readFileSync("package.json", "utf8")).workspaces.filter(name => name !== ADAPTER);
