Spoil a chunk's size in place of the length in case 3

The spoiled length shares its cause with case 1; a chunk's size is another place of the same reader, and the body that is returned is half of the server's.

--- a/review/src/deployment.ts
+++ b/review/src/deployment.ts
@@ -60,6 +60,11 @@
         return deployment;
     }
 
+    /** Puts a new desired state into the store, as the operator does. */
+    applyDesiredState(state: unknown): void {
+        this.store.put("config", "main", state);
+    }
+
     /** Replaces servers by those of a new version: the new one starts first, then the old one drains and ends. */
     async release({ service, count, gapMs, extraHead }: ReleaseOptions): Promise<void> {
         for (let index = 0; index < count; index++) {
--- a/review/src/reviewClient.ts
+++ b/review/src/reviewClient.ts
@@ -6,6 +6,8 @@
     readonly address: string;
     readonly id: string;
     readonly path: string;
+    /** Host that the request names; the first one of the deployment by default. */
+    readonly hostName?: string;
     readonly method?: string;
     readonly body?: Buffer;
     readonly timeLeftMs: number;
@@ -32,7 +34,7 @@
 export class ReviewClient {
     private readonly agent = new Agent({ keepAlive: true, maxSockets: 400 });
 
-    call({ address, id, path, method = "GET", body, timeLeftMs }: CallOptions): Promise<Answer> {
+    call({ address, id, path, method = "GET", hostName = HOST_NAME, body, timeLeftMs }: CallOptions): Promise<Answer> {
         const [host = "", port] = address.split(":");
         const sentAt = performance.now();
         return new Promise(resolve => {
@@ -64,7 +66,7 @@
                 method,
                 agent: this.agent,
                 headers: {
-                    "Host": HOST_NAME,
+                    "Host": hostName,
                     "X-Request-Id": id,
                     "X-Deadline-Ms": String(timeLeftMs),
                     "Authorization": `Token ${KEY}`,
--- a/review/src/spoiledAnswers.ts
+++ b/review/src/spoiledAnswers.ts
@@ -7,12 +7,21 @@
     readonly servers: ReadonlySet<string>;
     /** Share of the answers that they spoil. */
     readonly share: number;
-    /** Byte that takes the place of the first digit of the length. */
+    /** Whose first digit another byte replaces: the length of the body, or the size of the second of two chunks. */
+    readonly place: "length" | "chunkSize";
+    /** Byte that takes the place of the digit. */
     readonly byte: string;
     readonly record: RecordFile;
 }
 
-/** Spoils answers of some servers, for some time: one byte of the head is another one. All other bytes are sent as they are. */
+interface SoundAnswer {
+    readonly head: readonly (readonly [name: string, value: string])[];
+    readonly body: Buffer;
+}
+
+const HEXADECIMAL = 16;
+
+/** Spoils answers of some servers, for some time: one byte is another one. All other bytes are sent as they are. */
 export class SpoiledAnswers {
     readonly ids = new Set<string>();
     private endsAt = -Infinity;
@@ -23,19 +32,41 @@
         this.endsAt = performance.now() + durationMs;
     }
 
-    readonly interfere = (
-        request: RunRequest,
-        response: ServerResponse,
-        { head, body }: { head: readonly (readonly [string, string])[]; body: Buffer; },
-    ): boolean => {
-        const { servers, share, byte, record } = this.opts;
-        if (performance.now() >= this.endsAt || !servers.has(request.server) || Math.random() >= share) {
-            return false;
+    /** Sends the answer, spoiled or not, if it has chunks; an answer with a length only if it is spoiled. */
+    readonly interfere = (request: RunRequest, response: ServerResponse, sound: SoundAnswer): boolean => {
+        const { servers, share, place, record } = this.opts;
+        const isSpoiled = performance.now() < this.endsAt && servers.has(request.server) && Math.random() < share;
+        if (isSpoiled) {
+            this.ids.add(request.id);
+            record.add("spoiled", { id: request.id, server: request.server });
+        }
+        if (place === "chunkSize") {
+            this.sendChunks(response, sound, isSpoiled);
+        }
+        else if (isSpoiled) {
+            const length = this.spoil(String(sound.body.length));
+            response.writeHead(200, [...sound.head, ["Content-Length", length] as const].flat()).end(sound.body);
         }
-        this.ids.add(request.id);
-        record.add("spoiled", { id: request.id, server: request.server });
-        const length = `${byte}${String(body.length).slice(1)}`;
-        response.writeHead(200, [...head, ["Content-Length", length] as const].flat()).end(body);
-        return true;
+        return isSpoiled || place === "chunkSize";
     };
+
+    /** Sends the body in two chunks and closes the channel, as the answer is not written by the HTTP library. */
+    private sendChunks({ socket }: ServerResponse, { head, body }: SoundAnswer, isSpoiled: boolean): void {
+        const lines = head.map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        const half = body.length / 2;
+        const size = half.toString(HEXADECIMAL);
+        socket?.end(Buffer.concat([
+            Buffer.from(
+                `HTTP/1.1 200 OK\r\n${lines}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${size}\r\n`,
+            ),
+            body.subarray(0, half),
+            Buffer.from(`\r\n${isSpoiled ? this.spoil(size) : size}\r\n`),
+            body.subarray(half),
+            Buffer.from("\r\n0\r\n\r\n"),
+        ]));
+    }
+
+    private spoil(digits: string): string {
+        return `${this.opts.byte}${digits.slice(1)}`;
+    }
 }
--- a/review/src/spoiledLengthCase.ts
+++ b/review/src/spoiledChunkCase.ts
@@ -3,7 +3,7 @@
 import { SpoiledAnswers } from "./spoiledAnswers.js";
 import { type Exchange, steadyLoad } from "./steadyLoad.js";
 
-// Servers spoil one byte of the length of some answers. No client may get a success without the whole body.
+// Servers answer in chunks and spoil one byte of the size of some of them. No client may get a success without the whole body.
 
 const SERVERS = 6;
 const DURATION_MS = 40_000;
@@ -32,7 +32,7 @@
             Array.from({ length: Math.floor(SERVERS * TROUBLE_SHARE) }, (_, index) => `i-${service}-${index}`)
         ),
     );
-    const spoiled = new SpoiledAnswers({ servers, share: SPOILED_SHARE, byte: "q", record });
+    const spoiled = new SpoiledAnswers({ servers, share: SPOILED_SHARE, place: "chunkSize", byte: "q", record });
     const deployment = await Deployment.start({
         hosts: 2,
         servers: services.map(service => ({ service, count: SERVERS, slots: 6, workMs: 100 })),
--- a/review/src/spoiledSignCase.ts
+++ b/review/src/spoiledSignCase.ts
@@ -32,7 +32,7 @@
             Array.from({ length: Math.floor(SERVERS * TROUBLE_SHARE) }, (_, index) => `i-${service}-${index}`)
         ),
     );
-    const spoiled = new SpoiledAnswers({ servers, share: SPOILED_SHARE, byte: "-", record });
+    const spoiled = new SpoiledAnswers({ servers, share: SPOILED_SHARE, place: "length", byte: "-", record });
     const deployment = await Deployment.start({
         hosts: 3,
         servers: services.map(service => ({ service, count: SERVERS, slots: 6, workMs: 100 })),
