Show that a late second answer makes a request run twice

Cause: HttpDialect.matchResponse takes a refusal that names no request for the answer to the request that waits, also on a connection that has carried others; only a refusal after a refusal is guarded against. Case: review/1, garble, extra late, at the site's figures; the second answer is a refusal as the servers write it.

--- a/review/src/deployment.ts
+++ b/review/src/deployment.ts
@@ -16,19 +16,9 @@
     }[];
     readonly bodyOf: ServerOptions["bodyOf"];
     readonly interfere?: ServerOptions["interfere"];
+    readonly onArrival?: ServerOptions["onArrival"];
 }
 
-interface ReleaseOptions {
-    readonly service: string;
-    /** Number of servers to replace, one after the other. */
-    readonly count: number;
-    readonly gapMs: number;
-    /** What the new version of the servers adds to its answers. */
-    readonly extraHead: ServerOptions["extraHead"];
-}
-
-/** Time for which a server goes on serving after it has said that it leaves. */
-const LEAVING_MS = 4_000;
 /** Time for the hosts to link to each other and to learn of the servers. */
 const SETTLING_MS = 3_000;
 
@@ -39,9 +29,8 @@
     readonly runs: RunRequest[] = [];
     private readonly store = new StoreStandIn();
     private readonly servers: ReviewServer[] = [];
-    private readonly services = new Map<string, ServerOptions & { readonly address: string; }>();
 
-    static async start({ hosts, servers, bodyOf, interfere }: DeploymentOptions): Promise<Deployment> {
+    static async start({ hosts, servers, bodyOf, interfere, onArrival }: DeploymentOptions): Promise<Deployment> {
         const deployment = new Deployment();
         const store = await deployment.store.start();
         deployment.store.put("config", "main", desiredState());
@@ -49,7 +38,7 @@
         for (const { service, count, slots, workMs } of servers) {
             for (let index = 0; index < count; index++) {
                 const id = `i-${service}-${index}`;
-                await deployment.addServer(service, { id, slots, workMs, bodyOf, interfere, onRun });
+                await deployment.addServer(service, { id, slots, workMs, bodyOf, interfere, onArrival, onRun });
             }
         }
         for (let index = 0; index < hosts; index++) {
@@ -65,24 +54,10 @@
         this.store.put("config", "main", state);
     }
 
-    /** Replaces servers by those of a new version: the new one starts first, then the old one drains and ends. */
-    async release({ service, count, gapMs, extraHead }: ReleaseOptions): Promise<void> {
-        for (let index = 0; index < count; index++) {
-            const oldId = `i-${service}-${index}`;
-            const old = this.services.get(oldId)!;
-            await this.addServer(service, { ...old, id: `${oldId}-v2`, extraHead });
-            const entry = serverEntry(old.address, service, old.slots);
-            this.store.put("servers", oldId, { ...entry, status: { ...entry.status, state: "draining", seq: 2 } });
-            setTimeout(() => this.store.remove("servers", oldId), LEAVING_MS);
-            await sleep(gapMs);
-        }
-    }
-
     private async addServer(service: string, opts: ServerOptions): Promise<void> {
         const server = new ReviewServer(opts);
         const address = await server.start();
         this.servers.push(server);
-        this.services.set(opts.id, { ...opts, address });
         this.store.put("servers", opts.id, serverEntry(address, service, opts.slots));
     }
 
--- a/review/src/reviewServer.ts
+++ b/review/src/reviewServer.ts
@@ -21,8 +21,8 @@
     readonly bodyOf: (request: RunRequest) => Buffer;
     /** Sends something else in place of the answer and returns true, or returns false. */
     readonly interfere?: (request: RunRequest, response: ServerResponse, sound: SoundAnswer) => boolean;
-    /** Headers that the server adds to its answers; none by default. */
-    readonly extraHead?: SoundAnswer["head"];
+    /** Called when a request has arrived, before it is run or refused. */
+    readonly onArrival?: (server: string, response: ServerResponse) => void;
     readonly onRun: (request: RunRequest) => void;
 }
 
@@ -57,7 +57,7 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { id, slots, workMs, bodyOf, interfere, extraHead = [], onRun } = this.opts;
+        const { id, slots, workMs, bodyOf, interfere, onArrival, onRun } = this.opts;
         let bodyBytes = 0;
         try {
             for await (const chunk of request) {
@@ -69,11 +69,12 @@
         }
         const requestId = String(request.headers["x-request-id"]);
         if (request.headers["x-expect-instance"] !== id) {
-            response.writeHead(421, { "X-Instance-Id": id, "X-Request-Id": requestId, "Content-Length": 0 }).end();
+            response.writeHead(421, { "X-Instance-Id": id, "Content-Length": 0 }).end();
             return;
         }
+        onArrival?.(id, response);
         if (!await this.takeSlot(response)) {
-            response.writeHead(503, { "X-Not-Run": "1", "X-Request-Id": requestId, "Content-Length": 0 }).end();
+            response.writeHead(503, { "X-Not-Run": "1", "Content-Length": 0 }).end();
             return;
         }
         const run: RunRequest = {
@@ -93,7 +94,6 @@
             ["X-Server-Stamp", `3e1b.07.5a2.${requestId}`],
             ["X-Server-Load", load],
             ["Content-Type", "application/octet-stream"],
-            ...extraHead,
         ] as const;
         if (interfere?.(run, response, { head, body }) === true || response.destroyed) {
             return;
