Read responses strictly, and pass on none whose framing is broken

Cause: http-parser-js takes a size that is no number for the end of the body and moves back on a negative length; it also skips headers that it can't read, takes a line feed alone for the end of a line, repeated and mixed lengths, unknown encodings, and drops the eighth bit of heads. ResponseReader believed it.

Now ResponseReader reads heads, lengths and chunks itself by RFC 9112, each step taking at least one byte, with limits for heads, skipped heads, fields, chunk lines and trailers. What fails stays invalid: the connection is closed and the attempt may have run. The log names the fault.

--- /dev/null
+++ b/forwarding/src/headReader.ts
@@ -0,0 +1,49 @@
+import { err, ok, type Result } from "neverthrow";
+import type { ByteCursor } from "./byteCursor.js";
+import { parseResponseHead } from "./parseResponseHead.js";
+import type { ResponseFault } from "./responseFault.js";
+import type { ResponseHead } from "./responseHead.js";
+
+const HEAD_END = Buffer.from("\r\n\r\n");
+const LINE_END_BYTES = 2;
+const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
+const MAX_HEAD_BYTES = 80 * 1024;
+const NO_BYTES = Buffer.alloc(0);
+
+/** Reads the head of one response, which may arrive in any number of pieces. */
+export class HeadReader {
+    /** The start of the head, while its end has not arrived. */
+    private partial: Buffer = NO_BYTES;
+
+    /**
+     * Returns the head once its last line has arrived, `undefined` before.
+     *
+     * Faults: `line`, `statusLine`, `headerField`, `headSize` and `fieldCount`.
+     */
+    read(input: ByteCursor): Result<ResponseHead | undefined, ResponseFault> {
+        const knownBytes = this.partial.length;
+        const bytes = knownBytes === 0 ? input.rest : Buffer.concat([this.partial, input.rest]);
+        const end = bytes.indexOf(HEAD_END, Math.max(0, knownBytes - HEAD_END.length + 1));
+        if ((end === -1 ? bytes.length : end) > MAX_HEAD_BYTES) {
+            return err("headSize");
+        }
+        if (end === -1) {
+            input.take(bytes.length);
+            this.partial = bytes;
+            return hasBareLineFeed(bytes, knownBytes) ? err("line") : ok(undefined);
+        }
+        input.take(end + HEAD_END.length - knownBytes);
+        return parseResponseHead(bytes.toString("latin1", 0, end + LINE_END_BYTES));
+    }
+}
+
+/** Whether a line from the offset on ends with a line feed only, so that no end of the head would ever be found. */
+function hasBareLineFeed(bytes: Buffer, offset: number): boolean {
+    for (let at = bytes.indexOf(LINE_FEED, offset); at !== -1; at = bytes.indexOf(LINE_FEED, at + 1)) {
+        if (bytes[at - 1] !== CARRIAGE_RETURN) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -1,8 +1,17 @@
-import { HTTPParser } from "http-parser-js";
-import { headerValue } from "./headerValue.js";
+import type { BodyDecoder } from "./bodyDecoder.js";
+import type { BodyFraming } from "./bodyFraming.js";
+import { bodyFramingOf } from "./bodyFramingOf.js";
+import { ByteCursor } from "./byteCursor.js";
+import { ChunkedBody } from "./chunkedBody.js";
+import { headerValues } from "./headerValues.js";
+import { HeadReader } from "./headReader.js";
+import type { ResponseFault } from "./responseFault.js";
+import type { ResponseHead } from "./responseHead.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
 import type { ResponseMemory } from "./responseMemory.js";
+import { SizedBody } from "./sizedBody.js";
 import type { TargetResponse } from "./targetResponse.js";
+import { UnframedBody } from "./unframedBody.js";
 
 interface ResponseReaderOptions {
     readonly requestId: string;
@@ -19,12 +28,9 @@
  * requests. More of them are no response, whatever follows.
  */
 const MAX_OVERHEAD_BYTES = 1024 * 1024;
-
-/** Position of the parser in its current chunk; the type declarations of the library lack it. */
-interface ParserPosition {
-    readonly offset: number;
-    readonly end: number;
-}
+/** Most heads of interim responses and responses to other requests before the request's own response. */
+const MAX_SKIPPED_HEADS = 100;
+const SWITCHING_PROTOCOLS_STATUS = 101;
 
 /**
  * - `reading`: more bytes are needed.
@@ -33,51 +39,64 @@
  */
 type ReadState = "reading" | "complete" | "invalid";
 
-/** Parses the response to one request from the bytes of a connection and skips responses to other requests. */
+/** The message that is being read after its head. */
+interface RunningMessage {
+    /** Whether it is the response to the request; other messages are skipped. */
+    readonly isOwn: boolean;
+    readonly body: BodyDecoder;
+}
+
+/**
+ * Reads the response to one request from the bytes of a connection and skips responses to other requests. It alone
+ * decides whether bytes are a response: they must follow RFC 9112 and stay within the limits, and once they have not,
+ * the state stays `invalid`.
+ */
 export class ResponseReader {
     private state: ReadState = "reading";
-    private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
-    private status = 0;
-    private headers: string[] = [];
+    private head: HeadReader | undefined = new HeadReader();
+    private message: RunningMessage | undefined;
+    private ownHead: ResponseHead | undefined;
     private chunks: Buffer[] = [];
     private bodyLength = 0;
     private receivedBytes = 0;
-    private messageKind: "own" | "stray" | "interim" | undefined;
+    private skippedHeads = 0;
     private keepAlive = false;
     private isFramed = false;
     private hasExtraBytes = false;
+    private foundFault: ResponseFault | undefined;
 
-    constructor(private readonly opts: ResponseReaderOptions) {
-        const { parser } = this;
-        parser[HTTPParser.kOnHeadersComplete] = info => this.handleHead(info);
-        parser[HTTPParser.kOnBody] = (chunk, offset, length) =>
-            this.handleBody(chunk.subarray(offset, offset + length));
-        parser[HTTPParser.kOnMessageComplete] = () => this.handleMessageComplete();
-    }
+    constructor(private readonly opts: ResponseReaderOptions) {}
 
     /** Whether the connection can carry another request after this response. */
     get isReusable(): boolean {
         return this.state === "complete" && this.keepAlive && this.isFramed && !this.hasExtraBytes;
     }
 
-    /** Whether the head of the request's own response has been read. */
-    get hasStarted(): boolean {
-        return this.messageKind === "own";
+    /** Why the state is `invalid`. */
+    get fault(): ResponseFault | undefined {
+        return this.foundFault;
     }
 
     /** The response; valid only once the state is `complete`. */
     get response(): TargetResponse {
+        const { status = 0, headers = [] } = this.ownHead ?? {};
         const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks);
-        return { status: this.status, headers: this.headers, body, isFramed: this.isFramed };
+        return { status, headers, body, isFramed: this.isFramed };
     }
 
-    /** Parses the next bytes of the connection. */
-    read(chunk: Buffer): ReadState {
-        const parsed = this.parser.execute(chunk);
-        this.receivedBytes += chunk.length;
-        const hasExcess = this.receivedBytes - this.bodyLength > MAX_OVERHEAD_BYTES;
-        if (this.state === "reading" && (parsed instanceof Error || hasExcess)) {
-            this.state = "invalid";
+    /** Reads the next bytes of the connection. Each step takes at least one of them, so that the loop ends. */
+    read(bytes: Buffer): ReadState {
+        this.receivedBytes += bytes.length;
+        const input = new ByteCursor(bytes);
+        while (this.state === "reading" && !input.isAtEnd) {
+            const fault = this.readStep(input);
+            if (fault !== undefined) {
+                this.reject(fault);
+            }
+        }
+        this.hasExtraBytes ||= !input.isAtEnd;
+        if (this.state === "reading" && this.receivedBytes - this.bodyLength > MAX_OVERHEAD_BYTES) {
+            this.reject("overhead");
         }
         return this.state;
     }
@@ -92,61 +111,133 @@
     /** Handles an orderly end of the connection, which completes a response without a length. */
     finish(): ReadState {
         if (this.state === "reading") {
-            const failed = this.parser.finish();
-            this.state = failed === undefined && (this.state as ReadState) === "complete" ? "complete" : "invalid";
+            const { message } = this;
+            if (message?.isOwn === true && message.body.endsWithConnection) {
+                this.state = "complete";
+            }
+            else {
+                this.reject("truncated");
+            }
         }
         return this.state;
     }
 
-    private handleHead(info: { statusCode: number; headers: string[]; shouldKeepAlive: boolean; }): number | void {
-        if (this.state !== "reading") {
-            // Another message has started on the connection without a request for it.
-            this.hasExtraBytes = true;
-            return;
+    private reject(fault: ResponseFault): void {
+        this.state = "invalid";
+        this.foundFault = fault;
+    }
+
+    private readStep(input: ByteCursor): ResponseFault | undefined {
+        return this.message === undefined ? this.readHead(input) : this.readBody(input, this.message);
+    }
+
+    private readHead(input: ByteCursor): ResponseFault | undefined {
+        this.head ??= new HeadReader();
+        const read = this.head.read(input);
+        if (read.isErr()) {
+            return read.error;
         }
-        const { statusCode, headers, shouldKeepAlive } = info;
-        if (statusCode < 200) {
-            this.messageKind = "interim";
-            return;
+        return read.value === undefined ? undefined : this.handleHead(read.value);
+    }
+
+    private readBody(input: ByteCursor, { isOwn, body }: RunningMessage): ResponseFault | undefined {
+        const content = body.decode(input);
+        if (content.isErr()) {
+            return content.error;
         }
-        const matched = this.opts.matcher.matchResponse(this.opts.requestId, statusCode, headers);
-        if (matched === "invalid") {
-            this.state = "invalid";
-            return;
+        const fault = isOwn ? this.keep(content.value) : undefined;
+        if (fault === undefined) {
+            this.endMessageIfComplete();
         }
-        this.messageKind = matched === "unattributed" ? "own" : matched;
-        this.status = statusCode;
-        this.headers = headers;
-        this.keepAlive = shouldKeepAlive && matched !== "unattributed";
-        const isBodiless = this.opts.method === "HEAD" || statusCode === 204 || statusCode === 304;
-        this.isFramed = isBodiless || headerValue(headers, "content-length") !== undefined ||
-            headerValue(headers, "transfer-encoding") !== undefined;
-        return isBodiless ? 1 : undefined;
-    }
-
-    private handleBody(chunk: Buffer): void {
-        if (this.state !== "reading" || this.messageKind !== "own") {
-            return;
+        return fault;
+    }
+
+    private handleHead(head: ResponseHead): ResponseFault | undefined {
+        this.head = undefined;
+        const framing = bodyFramingOf(head, this.opts.method);
+        if (framing.isErr()) {
+            return framing.error;
         }
-        const { maxBytes, memory } = this.opts;
-        const length = this.bodyLength + chunk.length;
-        if (length > maxBytes || memory?.tryGrow(length, chunk.length) === false) {
-            this.state = "invalid";
-            return;
+        if (head.status < 200) {
+            return head.status === SWITCHING_PROTOCOLS_STATUS ? "protocolSwitch" : this.countSkipped();
         }
-        this.bodyLength = length;
-        this.chunks.push(chunk);
+        const matched = this.opts.matcher.matchResponse(this.opts.requestId, head.status, head.headers);
+        switch (matched) {
+            case "invalid":
+                return "unattributed";
+            case "stray":
+                this.startMessage(framing.value, false);
+                return this.countSkipped();
+            default:
+                return this.startOwn(head, framing.value, matched === "unattributed");
+        }
+    }
+
+    private countSkipped(): ResponseFault | undefined {
+        this.skippedHeads++;
+        return this.skippedHeads > MAX_SKIPPED_HEADS ? "headCount" : undefined;
     }
 
-    private handleMessageComplete(): void {
-        if (this.state === "reading" && this.messageKind === "own") {
+    private startOwn(head: ResponseHead, framing: BodyFraming, isUnattributed: boolean): ResponseFault | undefined {
+        if (framing.kind === "sized" && framing.length > this.opts.maxBytes) {
+            return "bodySize";
+        }
+        this.ownHead = head;
+        this.isFramed = framing.kind !== "unframed";
+        this.keepAlive = isPersistent(head) && !isUnattributed;
+        this.startMessage(framing, true);
+        return undefined;
+    }
+
+    private startMessage(framing: BodyFraming, isOwn: boolean): void {
+        this.message = { isOwn, body: decoderOf(framing) };
+        this.endMessageIfComplete();
+    }
+
+    private endMessageIfComplete(): void {
+        if (this.message?.body.isComplete !== true) {
+            return;
+        }
+        if (this.message.isOwn) {
             this.state = "complete";
-            // The parser would read the remaining bytes as the start of another response.
-            const { offset, end } = this.parser as unknown as ParserPosition;
-            this.hasExtraBytes = offset < end;
         }
-        else if (this.state === "reading") {
-            this.messageKind = undefined;
+        this.message = undefined;
+    }
+
+    private keep(content: Buffer): ResponseFault | undefined {
+        if (content.length === 0) {
+            return undefined;
+        }
+        const { maxBytes, memory } = this.opts;
+        const length = this.bodyLength + content.length;
+        if (length > maxBytes) {
+            return "bodySize";
+        }
+        if (memory?.tryGrow(length, content.length) === false) {
+            return "memory";
         }
+        this.bodyLength = length;
+        this.chunks.push(content);
+        return undefined;
     }
 }
+
+function decoderOf(framing: BodyFraming): BodyDecoder {
+    switch (framing.kind) {
+        case "none":
+            return new SizedBody(0);
+        case "sized":
+            return new SizedBody(framing.length);
+        case "chunked":
+            return new ChunkedBody();
+        case "unframed":
+            return new UnframedBody();
+    }
+}
+
+/** Whether the target keeps the connection open after its response (RFC 9112, section 9.3). */
+function isPersistent({ minorVersion, headers }: ResponseHead): boolean {
+    const options = headerValues(headers, "connection").flatMap(value => value.toLowerCase().split(","));
+    const hasOption = (name: string) => options.some(option => option.trim() === name);
+    return !hasOption("close") && (minorVersion > 0 || hasOption("keep-alive"));
+}
--- a/forwarding/src/targetConnection.ts
+++ b/forwarding/src/targetConnection.ts
@@ -128,7 +128,7 @@
         }
         const state = running.reader.read(chunk);
         if (state === "invalid") {
-            this.fail("the answer is not valid");
+            this.fail(`malformed response: ${running.reader.fault}`);
         }
         else if (state === "complete") {
             this.complete(running);
--- a/forwarding/test/targetConnection.test.ts
+++ b/forwarding/test/targetConnection.test.ts
@@ -142,6 +142,26 @@
         assert.equal((await exchange(newPool(), "anonymous")).end, "lost");
     });
 
+    it("reports a response with a spoiled length or chunk as lost and closes the connection, though it could go on", async () => {
+        const spoiled = (id: string) => ({
+            length: response(id).replace("Content-Length: ", "Content-Length: -"),
+            chunk:
+                `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nq4\r\nrest\r\n0\r\n\r\n`,
+        });
+        for (const kind of ["length", "chunk"] as const) {
+            let hasClosed = false;
+            behave = (socket, id) => {
+                socket.once("close", () => hasClosed = true);
+                socket.write(spoiled(id)[kind]);
+            };
+            const result = await exchange(newPool(), kind);
+            assert.equal(result.end, "lost", kind);
+            assert.match(result.end === "lost" ? result.reason : "", /^malformed response: (length|chunkSize)$/);
+            await sleep(50);
+            assert.ok(hasClosed, kind);
+        }
+    });
+
     it("reports a request as unsent if the target refuses the connection", async () => {
         const closed = createServer();
         await new Promise<void>(resolve => closed.listen(0, "127.0.0.1", resolve));
