Split routes by the route and not by its name

Cause: TrafficSplitter kept the parts of a split by the name of the route, so the first request after a change decided for all routes of that name. Besides, a request admitted under the version before could put the old parts back after the reset. Ruled out: the selection of the route (it goes by host and path) and a change that is applied in part.

Now parts are kept by the route object, which belongs to one version of the desired state, so nothing has to be reset.

--- a/desired-state/src/trafficSplitter.ts
+++ b/desired-state/src/trafficSplitter.ts
@@ -8,12 +8,11 @@
 
 /** Distributes the requests of each route by smooth weighted round robin: shares are accurate over few requests too. */
 export class TrafficSplitter {
-    private readonly parts = new Map<string, WeightedService[]>();
-
-    /** Discards the state of previous weights; to be called for each new desired state. */
-    reset(): void {
-        this.parts.clear();
-    }
+    /**
+     * Keyed by the route itself, which belongs to one version of the desired state: neither a route of the same name nor a request
+     * that was admitted under another version uses its parts.
+     */
+    private readonly parts = new WeakMap<Route, WeightedService[]>();
 
     /** The service for the next request of the route. */
     chooseService(route: Route): string {
@@ -22,11 +21,11 @@
     }
 
     private chooseByWeight(route: Route): string {
-        let parts = this.parts.get(route.name);
+        let parts = this.parts.get(route);
         if (parts === undefined) {
             // Random initial weights keep hosts from all sending their first requests to the same service.
             parts = route.parts.map(part => ({ ...part, currentWeight: Math.random() * part.weight }));
-            this.parts.set(route.name, parts);
+            this.parts.set(route, parts);
         }
         const total = parts.reduce((sum, { weight }) => sum + weight, 0);
         parts.forEach(part => part.currentWeight += part.weight);
--- a/gateway/src/callerWaitEstimator.ts
+++ b/gateway/src/callerWaitEstimator.ts
@@ -7,7 +7,11 @@
 export class CallerWaitEstimator {
     private readonly routes = new Map<string, DeadlineHistogram>();
 
-    /** Estimated time that the caller has spent on earlier attempts, in ms. */
+    /**
+     * Estimated time that the caller has spent on earlier attempts, in ms.
+     *
+     * @param route Key of the route.
+     */
     waitedMs(route: string, deadlineMs: number | undefined): number {
         if (deadlineMs === undefined) {
             return 0;
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -1,4 +1,4 @@
-import { type DesiredState, type Route, TrafficSplitter, type Workspace } from "@pistachioreel/desired-state";
+import { type DesiredState, type Route, routeKey, TrafficSplitter, type Workspace } from "@pistachioreel/desired-state";
 import type { Logger } from "@pistachioreel/logging";
 import { Failure } from "@pistachioreel/result-code";
 import { failureFromParserError, rejectMalformedRequest } from "@pistachioreel/runtime";
@@ -6,12 +6,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import { CallerExchange } from "./callerExchange.js";
-import type { CallerRequest } from "./callerRequest.js";
 import { CallerWaitEstimator } from "./callerWaitEstimator.js";
 import type { DetouredRequest } from "./detouredRequest.js";
 import type { Dialect } from "./dialect.js";
 import { EventLoopBarrier } from "./eventLoopBarrier.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { objectKey } from "./objectKey.js";
 import type { RelayedRequest } from "./relayedRequest.js";
 import { RequestBodyBuffer } from "./requestBodyBuffer.js";
 import type { RequestRelay } from "./requestRelay.js";
@@ -107,9 +107,8 @@
         return this.connectionCount;
     }
 
-    /** Applies the timeouts of a new desired state and restarts the traffic split with its weights. */
+    /** Applies the timeouts of a new desired state. */
     applyDesiredState({ limits }: DesiredState): void {
-        this.trafficSplitter.reset();
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
         this.server.headersTimeout = limits.headerTimeoutMs;
     }
@@ -229,9 +228,10 @@
     ): RelayedRequest {
         const route = detour === undefined ? ownRoute : { ...ownRoute, maxAttempts: detour.maxAttempts };
         const service = this.trafficSplitter.chooseService(ownRoute);
-        const objectiveAt = arrivedAt + route.objectiveMs - this.waitEstimator.waitedMs(route.name, caller.deadlineMs);
+        const objectiveAt = arrivedAt + route.objectiveMs -
+            this.waitEstimator.waitedMs(routeKey(route), caller.deadlineMs);
         const { key } = caller;
-        const object = objectKeyOf(caller, route);
+        const object = objectKey(caller, route);
         const isDetoured = detour !== undefined;
         return {
             id,
@@ -277,11 +277,6 @@
     }
 }
 
-/** Key of the object, unique over all routes; `undefined` if targets of the route gain nothing from sticky routing. */
-function objectKeyOf({ object }: CallerRequest, { name, isSticky }: Route): string | undefined {
-    return object === undefined || !isSticky ? undefined : `${name}:${object}`;
-}
-
 /** Size of a request's headers in bytes, without the request line. */
 function headerSizeBytes({ rawHeaders }: IncomingMessage): number {
     // Two bytes follow each name (colon and space) and each value (CR and LF).
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -1,16 +1,17 @@
 import type { CrashSuspects, RetryBudget } from "@pistachioreel/delivery";
+import { routeKey } from "@pistachioreel/desired-state";
 import type { ExchangeResult, TargetResponse } from "@pistachioreel/forwarding";
 import type { Logger } from "@pistachioreel/logging";
 import type { Placement, PlacementRequest, Target } from "@pistachioreel/placement";
 import { Failure } from "@pistachioreel/result-code";
 import { ok } from "neverthrow";
-import { createHash } from "node:crypto";
 import type { Detour } from "./detour.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { isServerError } from "./isServerError.js";
 import { LossReview } from "./lossReview.js";
 import type { RelayedRequest } from "./relayedRequest.js";
 import type { RelayResult } from "./relayResult.js";
+import { requestDigest } from "./requestDigest.js";
 import { type AttemptContext, TargetAttempt } from "./targetAttempt.js";
 
 interface RequestRelayOptions extends AttemptContext {
@@ -104,7 +105,7 @@
             }
         }
         // Hashing covers the body, so it is skipped while there are no suspects.
-        const digest = suspects.isEmpty ? undefined : digestOf(request);
+        const digest = suspects.isEmpty ? undefined : requestDigest(request);
         const admission = digest === undefined
             ? ok("free" as const)
             : await suspects.awaitTurn(digest, request.deadlineAt);
@@ -134,7 +135,7 @@
         const end = await attempt.run({ signal, slowMs, shouldFailOver });
         const endedAt = this.opts.now();
         if (end.result.end === "lost" && end.cancelledBy === undefined && await attempt.isTargetGone()) {
-            suspects.recordLoss(digest ?? digestOf(request), id, admission.value, {
+            suspects.recordLoss(digest ?? requestDigest(request), id, admission.value, {
                 startedAt: attempt.startedAt,
                 endedAt,
             });
@@ -352,7 +353,7 @@
     const { service, route, object, workspace, body, objectiveAt, deadlineAt } = request;
     return {
         service,
-        route: route.name,
+        route: routeKey(route),
         object,
         regions: commonRegions(route.regions, workspace?.regions ?? []),
         excluded,
@@ -363,13 +364,6 @@
     };
 }
 
-/** Digest by which repeats of the same request of a workspace are recognized. */
-function digestOf({ method, url, body, workspace }: RelayedRequest): string {
-    return createHash("sha256").update(`${workspace?.name ?? ""}\n${method}\n${url}\n`).update(body ?? "").digest(
-        "hex",
-    );
-}
-
 /** Intersection of two lists of regions, where an empty list allows all; `undefined` if all are allowed. */
 function commonRegions(a: readonly string[], b: readonly string[]): readonly string[] | undefined {
     const lists = [a, b].filter(list => list.length > 0);
--- a/gateway/src/targetAttempt.ts
+++ b/gateway/src/targetAttempt.ts
@@ -1,3 +1,4 @@
+import { routeKey } from "@pistachioreel/desired-state";
 import type { ExchangeResult } from "@pistachioreel/forwarding";
 import type {
     ColdTargetLimiter,
@@ -186,9 +187,9 @@
         const isError = isServerError(result.response.status);
         health.recordResponse(target, isError);
         if (!isError && this.hadFreeSlot) {
-            const { service, route: { name: route, objectiveMs } } = this.request;
+            const { service, route } = this.request;
             health.recordLatencyRatio(target, tookMs / baseMs);
-            times.record({ service, route, objectiveMs }, isWarm, tookMs);
+            times.record({ service, route: routeKey(route), objectiveMs: route.objectiveMs }, isWarm, tookMs);
         }
     }
 }
--- a/placement/src/placementRequest.ts
+++ b/placement/src/placementRequest.ts
@@ -1,6 +1,7 @@
 /** Properties of a request that determine the choice of its target. */
 export interface PlacementRequest {
     readonly service: string;
+    /** Key of the route. */
     readonly route: string;
     /** Id of the object that the request is for; `undefined` if there is none. */
     readonly object: string | undefined;
--- a/placement/src/processingTimes.ts
+++ b/placement/src/processingTimes.ts
@@ -6,6 +6,7 @@
 
 interface RequestClass {
     readonly service: string;
+    /** Key of the route. */
     readonly route: string;
     readonly objectiveMs: number;
 }
