Keep the limit of a workspace that is named like a target's limit

A workspace named target:x would have no limit any more once a target had left.

Cause: limits of workspaces and of targets share one map by name, and the limits of targets that have left are removed by their prefix. Now a workspace's name that begins with such a prefix gets another one; all other names stay, so hosts of two builds agree on them.

--- a/gateway/src/workspaceLimits.ts
+++ b/gateway/src/workspaceLimits.ts
@@ -1,22 +1,32 @@
 import type { DesiredState, Workspace } from "@pistachioreel/desired-state";
 import type { ReplicatedLimits } from "@pistachioreel/limits";
 
+/** Names of limits that do not belong to a workspace begin like this, and those of workspaces that would look alike. */
+const RESERVED_NAME_PATTERN = /^(target|workspace):/;
+const NAME_PREFIX = "workspace:";
+
 /** Enforces the rate and burst of each workspace over all hosts. */
 export class WorkspaceLimits {
     /** @param limits Limits that the hosts share, by name; those of workspaces have the names of the workspaces. */
     constructor(private readonly limits: ReplicatedLimits) {}
 
     /** Applies the rates and bursts of a new desired state. */
-    applyDesiredState({ workspaces }: DesiredState): void {
+    applyDesiredState({ workspaces }: Pick<DesiredState, "workspaces">): void {
         for (const { name, ratePerSecond: rate, burst } of workspaces) {
             if (rate > 0) {
-                this.limits.set(name, { rate, burst });
+                this.limits.set(limitName(name), { rate, burst });
             }
         }
     }
 
     /** Admits a request; if the workspace is over its limit, returns the time after which to retry, in ms. */
     admit({ name, ratePerSecond }: Workspace): number | undefined {
-        return ratePerSecond === 0 || this.limits.tryTake(name) ? undefined : this.limits.waitMs(name);
+        const limit = limitName(name);
+        return ratePerSecond === 0 || this.limits.tryTake(limit) ? undefined : this.limits.waitMs(limit);
     }
 }
+
+/** Name of a workspace's limit; no other limit has the same one. */
+function limitName(workspace: string): string {
+    return RESERVED_NAME_PATTERN.test(workspace) ? NAME_PREFIX + workspace : workspace;
+}
