Pass on no request that could outlast a stopping host

Cause: a stopping host passed a request on if three times its expected time was left; the expected time is an average, and one in ten took four times as long. The host also ended 0.8 s before the stop timeout. Ruled out: responses lost in buffers (the targets were still at work) and a signal that is handled late (the process ended by itself).

Now a request whose deadline is later than the end of the host is refused at once as not run, with no wait, also before it is passed on to another host. The host ends 0.4 s before the stop timeout, or a tenth of a short one. requestRelay no longer weighs the expected time, so a request can't be cut that has a deadline and a target that keeps it.

--- a/gateway/src/listenerDrain.ts
+++ b/gateway/src/listenerDrain.ts
@@ -13,8 +13,9 @@
 const CALLER_DEPARTURE_SHARE = 0.6;
 /** Callers that look up the hosts again have moved to others this long after the start of a shutdown. */
 const MIN_CALLER_DEPARTURE_MS = 2_600;
-/** The process ends by itself this long before the stop timeout. */
-const STOP_MARGIN_MS = 800;
+/** The process ends by itself this long before the stop timeout, or this share of a short one. */
+const STOP_MARGIN_MS = 400;
+const MAX_STOP_MARGIN_SHARE = 0.1;
 const POLL_INTERVAL_MS = 20;
 
 /** Lets the callers of a host that is shutting down move to others, and its running requests end. */
@@ -28,7 +29,8 @@
 
     /** Monotonic time in ms at which requests that are still running are cut off. */
     get endsAt(): number {
-        return this.startedAt + this.opts.stopTimeoutMs - STOP_MARGIN_MS;
+        const { stopTimeoutMs } = this.opts;
+        return this.startedAt + stopTimeoutMs - Math.min(STOP_MARGIN_MS, stopTimeoutMs * MAX_STOP_MARGIN_SHARE);
     }
 
     /**
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -23,7 +23,7 @@
     readonly retryBudget: () => RetryBudget;
     /**
      * Monotonic time in ms at which this host ends; infinite unless it is shutting down. It then cancels no slow attempts, and
-     * sends no request that is unlikely to end before.
+     * sends no request whose deadline is later.
      */
     readonly endsAt: () => number;
     readonly logger: Logger;
@@ -51,8 +51,6 @@
 const FAILOVER_FACTOR = 4;
 /** An attempt is not cancelled as slow before this time. */
 const MIN_ATTEMPT_MS = 500;
-/** While the host shuts down, a request is sent only if this many times its expected time are left. */
-const LATE_REQUEST_FACTOR = 3;
 /** Refusals of another host that would be the same at any host that reaches the targets. */
 const FINAL_REFUSALS: ReadonlySet<string> = new Set(["noTarget", "deadlineInQueue", "targetRefused", "crashSuspect"]);
 /** Time for which a target that has refused a request counts as full. */
@@ -98,6 +96,9 @@
         signal: AbortSignal,
     ): Promise<RelayResult | undefined> {
         const { suspects, placement } = this.opts;
+        if (!this.canEndInTime(request)) {
+            return this.fail(progress, new Failure("hostLeaving"), { retryAfterMs: 0 });
+        }
         if (this.opts.reach.isCutOff && !request.isDetoured) {
             const detoured = await this.sendThroughOtherHost(request, progress, signal);
             if (detoured !== "noHost") {
@@ -120,10 +121,6 @@
             const failure = new Failure(choice.refusal === "noTarget" ? "noTarget" : "deadlineInQueue");
             return this.fail(progress, failure, { retryAfterMs: choice.retryAfterMs });
         }
-        if (!this.canEndInTime(request, choice.expectedMs)) {
-            this.endTurn(digest, admission.value, false);
-            return this.fail(progress, new Failure("hostLeaving"), { retryAfterMs: 0 });
-        }
         const attempt = new TargetAttempt(this.opts, request, choice);
         const { id } = attempt.target;
         progress.excluded.add(id);
@@ -292,10 +289,12 @@
         return { response, sends: progress.sends, target: target.id };
     }
 
-    /** Whether a request is likely to end before this host does, which would leave its caller without a response. */
-    private canEndInTime({ deadlineAt }: RelayedRequest, expectedMs: number): boolean {
-        const { endsAt, now } = this.opts;
-        return deadlineAt <= endsAt() || LATE_REQUEST_FACTOR * expectedMs <= endsAt() - now();
+    /**
+     * Whether a request ends before this host does even if it takes until its deadline. Otherwise its caller could be left without
+     * a response, while another host has the time.
+     */
+    private canEndInTime({ deadlineAt }: RelayedRequest): boolean {
+        return deadlineAt <= this.opts.endsAt();
     }
 
     /** Whether to cancel a slow attempt: if another target can take the request at once. Takes a retry if so. */
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -144,6 +144,15 @@
         });
     }
 
+    it("refuses a request at once that could last longer than the host, as its response could be cut off", async () => {
+        const { relay } = newRelay({ isLeaving: true });
+        const request = newRequest({ deadlineAt: performance.now() + LEAVING_MS + DEADLINE_MS });
+        const result = await relay.run(request, new AbortController().signal);
+        assert.ok("failure" in result && result.failure.code === "hostLeaving" && result.failure.isNotRun);
+        assert.equal(result.sends, 0);
+        assert.equal(result.retryAfterMs, 0);
+    });
+
     it("counts a target as slow that does not respond before the deadline", async () => {
         const { relay, health, targets } = newRelay({ end: "lost", hasBudget: false });
         await relay.run(newRequest({ deadlineAt: performance.now() + DEADLINE_MS }), new AbortController().signal);
