Go on with a planned stop when a second signal comes

What callers saw: all running requests cut at once when SIGTERM or SIGINT came a second time.

Cause: the handlers of the signals were removed by the first one, so the second had its default effect. They stay now and a further signal changes nothing; SIGKILL ends a host that has to end at once.

--- a/cli/src/runHost.ts
+++ b/cli/src/runHost.ts
@@ -24,9 +24,10 @@
     return ok({ text: drained ? "stopped" : "stopped before all requests had finished", json: { drained } });
 }
 
+/** Resolves at the first signal. Further ones change nothing; without a handler they would end the process at once. */
 function waitForStopSignal(): Promise<void> {
     return new Promise(resolve => {
-        process.once("SIGTERM", () => resolve());
-        process.once("SIGINT", () => resolve());
+        process.on("SIGTERM", () => resolve());
+        process.on("SIGINT", () => resolve());
     });
 }
