Count a request as running until its response has been sent

Cause: server.close() of Node takes a connection for idle once its response has been handed over, and closes it with unsent bytes; running did not count such requests; at the end all connections were closed in order. Ruled out as the only cause: the end of the process (the cut came with the listener, 1.6 s earlier).

Now requests run until their response is with the operating system or their connection has closed, the listener closes only connections without a request, and what is unsent at the end is reset, so that it can't look complete. Requests that came from another host are counted in the same way. resetAndDestroy alone waits for unsent bytes and so never reset.

--- a/gateway/src/callerExchange.ts
+++ b/gateway/src/callerExchange.ts
@@ -34,6 +34,8 @@
     readonly caller: CallerRequest;
     /** Monotonic time in ms at which the head of the request arrived. */
     readonly arrivedAt: number;
+    /** Resolves once the response has been handed to the operating system, or the connection has closed. */
+    readonly ended: Promise<void>;
     private readonly abortController = new AbortController();
 
     constructor(private readonly opts: CallerExchangeOptions) {
@@ -48,6 +50,15 @@
             request.socket.off("end", abort);
             abort();
         });
+        this.ended = new Promise(resolve => {
+            const finish = () => {
+                request.socket.off("close", finish);
+                resolve();
+            };
+            response.once("close", finish);
+            // A response that waits for an earlier one of its connection is not told that the connection has closed.
+            request.socket.once("close", finish);
+        });
     }
 
     /** Aborts when the caller disconnects. */
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -248,7 +248,7 @@
         this.stopController.abort();
         this.mesh.stop();
         this.connectionPools.retain([]);
-        this.listener.server.closeAllConnections();
+        this.listener.cutOff();
         this.auxiliaryServers.close();
         logger.info({ event: "host-stopped", fields: { drained } });
         return drained;
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -4,7 +4,9 @@
 import { failureFromParserError, rejectMalformedRequest } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { CallerConnections } from "./callerConnections.js";
 import { CallerExchange } from "./callerExchange.js";
 import { CallerWaitEstimator } from "./callerWaitEstimator.js";
 import type { DetouredRequest } from "./detouredRequest.js";
@@ -69,8 +71,8 @@
     private readonly waitEstimator = new CallerWaitEstimator();
     private readonly bodyBuffer: RequestBodyBuffer;
     private readonly eventLoopBarrier: EventLoopBarrier;
+    private readonly callerConnections = new CallerConnections();
     private runningCount = 0;
-    private connectionCount = 0;
     private isLeaving = false;
 
     constructor(private readonly opts: RequestListenerOptions) {
@@ -91,20 +93,24 @@
         this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
             rejectMalformedRequest(socket, failureFromParserError(error));
         });
-        this.server.on("connection", (socket: Duplex) => {
-            this.connectionCount++;
-            socket.once("close", () => this.connectionCount--);
-        });
+        this.server.on("connection", (socket: Socket) => this.callerConnections.add(socket));
+        // Called when the server closes. Node's own method also closes connections to which a response is being sent.
+        this.server.closeIdleConnections = () => this.callerConnections.closeIdle();
     }
 
-    /** Number of requests without a response so far. */
+    /** Number of requests whose response has not been sent completely. */
     get running(): number {
         return this.runningCount;
     }
 
     /** Number of open connections of callers. */
     get connections(): number {
-        return this.connectionCount;
+        return this.callerConnections.count;
+    }
+
+    /** Closes all connections; those with a request are reset, so that no response that is cut off looks complete. */
+    cutOff(): void {
+        this.callerConnections.cutOff();
     }
 
     /** Applies the timeouts of a new desired state. */
@@ -130,12 +136,15 @@
     ): Promise<void> {
         const { dialect, now } = this.opts;
         const exchange = new CallerExchange({ dialect, request, response, detour, now });
+        const endRequest = this.callerConnections.startRequest(request.socket);
         this.runningCount++;
         try {
             await this.serve(request, exchange);
+            await exchange.ended;
         }
         finally {
             this.runningCount--;
+            endRequest();
         }
     }
 
