Date a stop signal back that is handled late

Cause: the stop timeout counted from the handling of the signal, while the platform counts it from the sending.

--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { createTargetReach } from "./createTargetReach.js";
 import { Detour } from "./detour.js";
 import { DetourListener } from "./detourListener.js";
+import { EventLoopStalls } from "./eventLoopStalls.js";
 import { FeedReplication } from "./feedReplication.js";
 import { FleetExchange } from "./fleetExchange.js";
 import { FleetLinks } from "./fleetLinks.js";
@@ -77,6 +78,7 @@
     private readonly replication: FeedReplication;
     private readonly exchange: FleetExchange;
     private readonly auxiliaryServers: AuxiliaryServers;
+    private readonly stalls = new EventLoopStalls({ now: monotonicNow });
     private isLeaving = false;
     /** Monotonic time in ms at which requests are cut off; infinite unless this host is shutting down. */
     private endsAt = Infinity;
@@ -238,7 +240,8 @@
      */
     async stop(): Promise<boolean> {
         const { settings: { stopTimeout: stopTimeoutMs }, logger } = this.opts;
-        const drain = new ListenerDrain({ listener: this.listener, stopTimeoutMs, now: monotonicNow });
+        const signalledAt = this.stalls.earliestArrivalAt;
+        const drain = new ListenerDrain({ listener: this.listener, stopTimeoutMs, signalledAt, now: monotonicNow });
         this.isLeaving = true;
         this.endsAt = drain.endsAt;
         this.listener.startLeaving();
--- a/gateway/src/listenerDrain.ts
+++ b/gateway/src/listenerDrain.ts
@@ -3,8 +3,10 @@
 
 interface ListenerDrainOptions {
     readonly listener: Pick<RequestListener, "connections" | "running" | "server">;
-    /** Time from the start of the shutdown after which the process is killed, in ms. */
+    /** Time from the arrival of the signal after which the process is killed, in ms. */
     readonly stopTimeoutMs: number;
+    /** Earliest monotonic time in ms at which the signal can have arrived. */
+    readonly signalledAt: number;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -22,9 +24,10 @@
 export class ListenerDrain {
     private readonly startedAt: number;
 
-    /** Starts the time of the shutdown. */
     constructor(private readonly opts: ListenerDrainOptions) {
-        this.startedAt = opts.now();
+        const { signalledAt, stopTimeoutMs, now } = opts;
+        // Whatever sent the signal does not end the process, if it has not done so by then.
+        this.startedAt = now() - signalledAt < stopTimeoutMs ? signalledAt : now();
     }
 
     /** Monotonic time in ms at which requests that are still running are cut off. */
