Collect the body of a response in one buffer

Cause: the reader kept one Buffer for each chunk, some hundred bytes of heap a byte of body, and the limits counted bytes of bodies. Ruled out: too many such responses at once (one takes 18 times its bytes), and bodies that are not released.

Now a body is one buffer that grows with what has arrived, by a larger factor where its length is stated, and the limit that all bodies share counts the buffer. A body that arrives in one piece is still not copied.

--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -5,6 +5,7 @@
 import { ChunkedBody } from "./chunkedBody.js";
 import { headerValues } from "./headerValues.js";
 import { HeadReader } from "./headReader.js";
+import { ResponseBody } from "./responseBody.js";
 import type { ResponseFault } from "./responseFault.js";
 import type { ResponseHead } from "./responseHead.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
@@ -56,8 +57,7 @@
     private head: HeadReader | undefined = new HeadReader();
     private message: RunningMessage | undefined;
     private ownHead: ResponseHead | undefined;
-    private chunks: Buffer[] = [];
-    private bodyLength = 0;
+    private body: ResponseBody | undefined;
     private receivedBytes = 0;
     private skippedHeads = 0;
     private keepAlive = false;
@@ -80,8 +80,7 @@
     /** The response; valid only once the state is `complete`. */
     get response(): TargetResponse {
         const { status = 0, headers = [] } = this.ownHead ?? {};
-        const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks);
-        return { status, headers, body, isFramed: this.isFramed };
+        return { status, headers, body: this.body?.bytes ?? Buffer.alloc(0), isFramed: this.isFramed };
     }
 
     /** Reads the next bytes of the connection. Each step takes at least one of them, so that the loop ends. */
@@ -95,7 +94,7 @@
             }
         }
         this.hasExtraBytes ||= !input.isAtEnd;
-        if (this.state === "reading" && this.receivedBytes - this.bodyLength > MAX_OVERHEAD_BYTES) {
+        if (this.state === "reading" && this.receivedBytes - (this.body?.size ?? 0) > MAX_OVERHEAD_BYTES) {
             this.reject("overhead");
         }
         return this.state;
@@ -103,9 +102,7 @@
 
     /** Releases the memory of the body. To be called once the response has been used or is no longer wanted. */
     dispose(): void {
-        this.opts.memory?.release(this.bodyLength);
-        this.bodyLength = 0;
-        this.chunks = [];
+        this.body?.dispose();
     }
 
     /** Handles an orderly end of the connection, which completes a response without a length. */
@@ -145,7 +142,7 @@
         if (content.isErr()) {
             return content.error;
         }
-        const fault = isOwn ? this.keep(content.value) : undefined;
+        const fault = isOwn && content.value.length > 0 ? this.body?.append(content.value) : undefined;
         if (fault === undefined) {
             this.endMessageIfComplete();
         }
@@ -185,6 +182,12 @@
         this.ownHead = head;
         this.isFramed = framing.kind !== "unframed";
         this.keepAlive = isPersistent(head) && !isUnattributed;
+        const { maxBytes, memory } = this.opts;
+        this.body = new ResponseBody({
+            maxBytes,
+            memory,
+            statedBytes: framing.kind === "sized" ? framing.length : undefined,
+        });
         this.startMessage(framing, true);
         return undefined;
     }
@@ -203,23 +206,6 @@
         }
         this.message = undefined;
     }
-
-    private keep(content: Buffer): ResponseFault | undefined {
-        if (content.length === 0) {
-            return undefined;
-        }
-        const { maxBytes, memory } = this.opts;
-        const length = this.bodyLength + content.length;
-        if (length > maxBytes) {
-            return "bodySize";
-        }
-        if (memory?.tryGrow(length, content.length) === false) {
-            return "memory";
-        }
-        this.bodyLength = length;
-        this.chunks.push(content);
-        return undefined;
-    }
 }
 
 function decoderOf(framing: BodyFraming): BodyDecoder {
--- a/forwarding/test/endlessResponses.test.ts
+++ b/forwarding/test/endlessResponses.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { ResponseMemory } from "../src/responseMemory.js";
 import { ResponseReader } from "../src/responseReader.js";
 
@@ -28,6 +30,18 @@
     return bytes;
 }
 
+/** Memory that is in use after a garbage collection, in bytes. */
+function liveBytes(): number {
+    setFlagsFromString("--expose-gc");
+    (runInNewContext("gc") as () => void)();
+    const { heapUsed, external } = process.memoryUsage();
+    return heapUsed + external;
+}
+
+function fullResponse(length: number): Buffer {
+    return Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n`), Buffer.alloc(length)]);
+}
+
 describe("responses without an end", () => {
     const cases = {
         "a header line": ["HTTP/1.1 200 OK\r\nX: ", "a"],
@@ -51,6 +65,36 @@
         assert.ok(bytesUntilInvalid(createReader({ kind: "stray" }), head, "b") <= MAX_READ_BYTES);
     });
 
+    it("in chunks of one byte take no more memory than bytes have arrived, which ended whole processes", () => {
+        const chunk = Buffer.from("1\r\na\r\n".repeat(CHUNK_BYTES / 6));
+        const before = liveBytes();
+        const readers = Array.from({ length: 10 }, () => createReader());
+        let arrivedBytes = 0;
+        for (const reader of readers) {
+            reader.read(Buffer.from(CHUNKED_HEAD));
+            for (let round = 0; round < 15; round++) {
+                assert.equal(reader.read(Buffer.from(chunk)), "reading");
+                arrivedBytes += chunk.length;
+            }
+        }
+        const added = liveBytes() - before;
+        assert.ok(added <= arrivedBytes, `${added} bytes of memory for ${arrivedBytes} bytes`);
+        readers.forEach(reader => reader.dispose());
+    });
+
+    it("count with the memory that they take, and give it back", () => {
+        const memory = new ResponseMemory({ maxBytes: 8 * MB });
+        const reader = createReader({ memory });
+        reader.read(Buffer.from(CHUNKED_HEAD));
+        const sizes = Array.from({ length: 64 }, () => "10000\r\n");
+        sizes.forEach(size =>
+            reader.read(Buffer.concat([Buffer.from(size), Buffer.alloc(64 * 1024), Buffer.from("\r\n")]))
+        );
+        assert.equal(createReader({ memory }).read(fullResponse(5 * MB)), "invalid");
+        reader.dispose();
+        assert.equal(createReader({ memory }).read(fullResponse(5 * MB)), "complete");
+    });
+
     it("share a limit of memory, which leaves room for usual responses and is free again afterwards", () => {
         const memory = new ResponseMemory({ maxBytes: 8 * MB });
         const head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
