--- a/forwarding/test/responseFraming.test.ts
+++ b/forwarding/test/responseFraming.test.ts
@@ -9,6 +9,8 @@
 
 const KB = 1024;
 const MAX_BODY_BYTES = 64 * KB;
+/** Time for which reading two heads may keep a host busy. */
+const MAX_BUSY_MS = 500;
 /** Time within which a reader in a process of its own has to read a few hundred bytes, start included. */
 const READ_TIMEOUT_MS = 10_000;
 
@@ -132,6 +134,16 @@
         assert.equal(headerValue(reader.response.headers, "x-name"), "\xe1\x83\xa1");
     });
 
+    for (const end of ["b\r\n\r\n", "\x01\r\n\r\n", "\r\n\r\n"]) {
+        it(`is read at once with many spaces before ${JSON.stringify(end)}, which kept a host busy for seconds`, () => {
+            const startedAt = performance.now();
+            createReader().read(latin1(`${OK}X-A: a${" ".repeat(79 * KB)}${end}`));
+            createReader().read(latin1(`${OK}X-A: ${" ".repeat(79 * KB)}${end}`));
+            const tookMs = performance.now() - startedAt;
+            assert.ok(tookMs < MAX_BUSY_MS, `${Math.round(tookMs)} ms`);
+        });
+    }
+
     it("with a negative length does not keep a host busy for good, which stopped whole hosts", () => {
         // A read without an end could not be interrupted within this process.
         const program = `
