Read chunks of responses where they lie

Cause: for each chunk the reader cut two lines out of the bytes as buffers, turned the size line into a string and matched a pattern.

Why this works: ChunkSize reads the line byte by byte in place, and content is copied from where it lies into the body's buffer, so that a chunk causes no object. The buffer moves to runtime (GrowingBuffer), as bodies of requests need it too; it now holds at most twice what has arrived also when the head states a length (eight times before).

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { limitsFairnessBench } from "./limitsFairnessBench.js";
 import { passthroughBench } from "./passthroughBench.js";
 import { placementBench } from "./placementBench.js";
+import { responseReaderBench } from "./responseReaderBench.js";
 import { runSubcommand } from "./runSubcommand.js";
 import { steeringBench } from "./steeringBench.js";
 import { storeRestoredBench } from "./storeRestoredBench.js";
@@ -19,6 +20,7 @@
     "limits-fairness": limitsFairnessBench,
     passthrough: passthroughBench,
     placement: placementBench,
+    "response-reader": responseReaderBench,
     steering: steeringBench,
     "store-restored": storeRestoredBench,
 });
--- a/forwarding/src/bodyDecoder.ts
+++ b/forwarding/src/bodyDecoder.ts
@@ -1,5 +1,5 @@
-import type { Result } from "neverthrow";
 import type { ByteCursor } from "./byteCursor.js";
+import type { ContentSink } from "./contentSink.js";
 import type { ResponseFault } from "./responseFault.js";
 
 /** Takes the content of one body from the bytes of a connection. */
@@ -8,10 +8,10 @@
     readonly isComplete: boolean;
 
     /**
-     * Takes at least one byte and returns the content among the bytes taken, which may be empty. To be called only while the
-     * body is incomplete and bytes are left.
+     * Takes at least one byte, and passes the content among the bytes taken to the sink. To be called only while the body is
+     * incomplete and bytes are left.
      */
-    decode(input: ByteCursor): Result<Buffer, ResponseFault>;
+    decode(input: ByteCursor, content: ContentSink): ResponseFault | undefined;
 
     /** Whether the body is complete if the connection ends now. */
     readonly endsWithConnection: boolean;
--- a/forwarding/src/chunkedBody.ts
+++ b/forwarding/src/chunkedBody.ts
@@ -1,76 +1,87 @@
-import { err, ok, type Result } from "neverthrow";
 import type { BodyDecoder } from "./bodyDecoder.js";
 import type { ByteCursor } from "./byteCursor.js";
+import { ChunkSize } from "./chunkSize.js";
+import type { ContentSink } from "./contentSink.js";
 import { LineReader } from "./lineReader.js";
 import { parseHeaderFields } from "./parseHeaderFields.js";
 import type { ResponseFault } from "./responseFault.js";
 
-/** Size in hexadecimal digits and extensions (RFC 9112, section 7.1), which are ignored. */
-const CHUNK_SIZE_PATTERN = /^([0-9A-Fa-f]{1,8})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?$/;
-const MAX_LINE_BYTES = 16 * 1024;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const MAX_TRAILER_BYTES = 16 * 1024;
 const MAX_TRAILER_FIELDS = 100;
-const NO_CONTENT = Buffer.alloc(0);
 
 /** A body in chunks with their sizes, followed by trailers, which are dropped. */
 export class ChunkedBody implements BodyDecoder {
     readonly endsWithConnection = false;
-    private part: "size" | "content" | "contentEnd" | "trailers" | "complete" = "size";
+    private part: "size" | "content" | "contentReturn" | "contentLineFeed" | "trailers" | "complete" = "size";
     private missingBytes = 0;
     private trailerFields = 0;
-    private readonly lines = new LineReader(MAX_LINE_BYTES);
+    private readonly size = new ChunkSize();
+    private readonly trailers = new LineReader(MAX_TRAILER_BYTES);
 
     get isComplete(): boolean {
         return this.part === "complete";
     }
 
-    decode(input: ByteCursor): Result<Buffer, ResponseFault> {
-        if (this.part === "content") {
-            return ok(this.takeContent(input));
+    decode(input: ByteCursor, content: ContentSink): ResponseFault | undefined {
+        let fault: ResponseFault | undefined;
+        while (fault === undefined && !this.isComplete && !input.isAtEnd) {
+            fault = this.decodePart(input, content);
         }
-        const line = this.lines.read(input);
-        if (line.isErr()) {
-            return err(line.error);
-        }
-        const fault = line.value === undefined ? undefined : this.handleLine(line.value);
-        return fault === undefined ? ok(NO_CONTENT) : err(fault);
+        return fault;
     }
 
-    private takeContent(input: ByteCursor): Buffer {
-        const content = input.take(this.missingBytes);
-        this.missingBytes -= content.length;
-        if (this.missingBytes === 0) {
-            this.part = "contentEnd";
-        }
-        return content;
-    }
-
-    private handleLine(line: string): ResponseFault | undefined {
+    private decodePart(input: ByteCursor, content: ContentSink): ResponseFault | undefined {
         switch (this.part) {
             case "size":
-                return this.handleSize(line);
-            case "contentEnd":
+                return this.takeSize(input);
+            case "content":
+                return this.takeContent(input, content);
+            case "contentReturn":
+                this.part = "contentLineFeed";
+                return input.bytes[input.offset++] === CARRIAGE_RETURN ? undefined : "chunkEnd";
+            case "contentLineFeed":
                 this.part = "size";
-                return line === "" ? undefined : "chunkEnd";
+                return input.bytes[input.offset++] === LINE_FEED ? undefined : "chunkEnd";
             default:
-                return this.handleTrailer(line);
+                return this.takeTrailer(input);
+        }
+    }
+
+    private takeSize(input: ByteCursor): ResponseFault | undefined {
+        const fault = this.size.read(input);
+        if (fault === undefined && this.size.isComplete) {
+            this.missingBytes = this.size.value;
+            this.part = this.missingBytes === 0 ? "trailers" : "content";
+            this.size.reset();
         }
+        return fault;
     }
 
-    private handleSize(line: string): ResponseFault | undefined {
-        const size = CHUNK_SIZE_PATTERN.exec(line)?.[1];
-        if (size === undefined) {
-            return "chunkSize";
+    private takeContent(input: ByteCursor, content: ContentSink): ResponseFault | undefined {
+        const start = input.offset;
+        const size = input.skip(this.missingBytes);
+        this.missingBytes -= size;
+        if (this.missingBytes === 0) {
+            this.part = "contentReturn";
         }
-        this.missingBytes = Number.parseInt(size, 16);
-        this.part = this.missingBytes === 0 ? "trailers" : "content";
-        return undefined;
+        return content.append(input.bytes, start, start + size);
     }
 
-    private handleTrailer(line: string): ResponseFault | undefined {
-        if (line === "") {
+    private takeTrailer(input: ByteCursor): ResponseFault | undefined {
+        const line = this.trailers.read(input);
+        if (line.isErr()) {
+            return line.error;
+        }
+        if (line.value === "") {
             this.part = "complete";
             return undefined;
         }
+        return line.value === undefined ? undefined : this.checkTrailer(line.value);
+    }
+
+    private checkTrailer(line: string): ResponseFault | undefined {
         this.trailerFields++;
         if (this.trailerFields > MAX_TRAILER_FIELDS) {
             return "fieldCount";
--- a/forwarding/src/responseBody.ts
+++ b/forwarding/src/responseBody.ts
@@ -1,3 +1,5 @@
+import { GrowingBuffer } from "@pistachioreel/runtime";
+import type { ContentSink } from "./contentSink.js";
 import type { ResponseFault } from "./responseFault.js";
 import type { ResponseMemory } from "./responseMemory.js";
 
@@ -10,86 +12,52 @@
     readonly memory?: ResponseMemory | undefined;
 }
 
-const NO_BYTES = Buffer.alloc(0);
-const MIN_CAPACITY_BYTES = 1024;
-/** Ratio of a new capacity to the bytes that have arrived, so that they are copied a bounded number of times. */
-const GROWTH_FACTOR = 2;
-/** A stated length bounds the capacity, so a larger ratio wastes nothing. */
-const STATED_GROWTH_FACTOR = 8;
+/** Collects the body of one response. A body that arrives in one piece is not copied. */
+export class ResponseBody implements ContentSink {
+    private readonly content: GrowingBuffer;
 
-/**
- * Collects the body of one response in one buffer, so that the memory for it is proportional to its length, in however many pieces
- * it arrives. A body that arrives in one piece is not copied.
- */
-export class ResponseBody {
-    private buffer: Buffer = NO_BYTES;
-    private length = 0;
-
-    constructor(private readonly opts: ResponseBodyOptions) {}
+    constructor(private readonly opts: ResponseBodyOptions) {
+        this.content = new GrowingBuffer({ maxBytes: opts.statedBytes ?? opts.maxBytes });
+    }
 
     /** Number of bytes so far. */
     get size(): number {
-        return this.length;
+        return this.content.size;
     }
 
     /** All bytes so far. */
     get bytes(): Buffer {
-        return this.buffer.subarray(0, this.length);
+        return this.content.bytes;
     }
 
-    /**
-     * Adds bytes; returns a fault if there is no room for them.
-     *
-     * Faults: `bodySize` and `memory`.
-     */
-    append(piece: Buffer): ResponseFault | undefined {
-        const length = this.length + piece.length;
-        if (length > this.opts.maxBytes) {
+    append(source: Buffer, start: number, end: number): ResponseFault | undefined {
+        const { content } = this;
+        const { maxBytes, statedBytes } = this.opts;
+        const addedBytes = end - start;
+        if (content.size + addedBytes > maxBytes) {
             return "bodySize";
         }
-        const isWhole = piece.length === this.opts.statedBytes;
-        const capacity = isWhole ? length : this.capacityFor(length);
-        if (!this.tryReserve(capacity)) {
+        const isWhole = addedBytes === statedBytes;
+        if (!this.tryReserve(isWhole ? addedBytes : content.capacityWith(addedBytes))) {
             return "memory";
         }
         if (isWhole) {
-            this.buffer = piece;
+            content.adopt(source.subarray(start, end));
         }
         else {
-            this.resize(capacity);
-            piece.copy(this.buffer, this.length);
+            content.append(source, start, end);
         }
-        this.length = length;
         return undefined;
     }
 
     /** Releases the memory. */
     dispose(): void {
-        this.opts.memory?.release(this.buffer.length);
-        this.buffer = NO_BYTES;
-        this.length = 0;
-    }
-
-    /** Size of the buffer for a body of at least the length. */
-    private capacityFor(length: number): number {
-        if (length <= this.buffer.length) {
-            return this.buffer.length;
-        }
-        const { statedBytes, maxBytes } = this.opts;
-        const factor = statedBytes === undefined ? GROWTH_FACTOR : STATED_GROWTH_FACTOR;
-        return Math.min(statedBytes ?? maxBytes, Math.max(MIN_CAPACITY_BYTES, factor * length));
+        this.opts.memory?.release(this.content.capacity);
+        this.content.clear();
     }
 
     private tryReserve(capacity: number): boolean {
-        const addedBytes = capacity - this.buffer.length;
+        const addedBytes = capacity - this.content.capacity;
         return addedBytes === 0 || this.opts.memory?.tryGrow(capacity, addedBytes) !== false;
     }
-
-    private resize(capacity: number): void {
-        if (capacity > this.buffer.length) {
-            const grown = Buffer.allocUnsafe(capacity);
-            this.buffer.copy(grown, 0, 0, this.length);
-            this.buffer = grown;
-        }
-    }
 }
--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -3,6 +3,7 @@
 import { bodyFramingOf } from "./bodyFramingOf.js";
 import { ByteCursor } from "./byteCursor.js";
 import { ChunkedBody } from "./chunkedBody.js";
+import type { ContentSink } from "./contentSink.js";
 import { headerValues } from "./headerValues.js";
 import { HeadReader } from "./headReader.js";
 import { ResponseBody } from "./responseBody.js";
@@ -32,6 +33,8 @@
 /** Most heads of interim responses and responses to other requests before the request's own response. */
 const MAX_SKIPPED_HEADS = 100;
 const SWITCHING_PROTOCOLS_STATUS = 101;
+/** Drops the content of responses to other requests. */
+const DROPPED_CONTENT: ContentSink = { append: () => undefined };
 
 /**
  * - `reading`: more bytes are needed.
@@ -138,11 +141,8 @@
     }
 
     private readBody(input: ByteCursor, { isOwn, body }: RunningMessage): ResponseFault | undefined {
-        const content = body.decode(input);
-        if (content.isErr()) {
-            return content.error;
-        }
-        const fault = isOwn && content.value.length > 0 ? this.body?.append(content.value) : undefined;
+        const content = isOwn ? this.body ?? DROPPED_CONTENT : DROPPED_CONTENT;
+        const fault = body.decode(input, content);
         if (fault === undefined) {
             this.endMessageIfComplete();
         }
--- a/forwarding/src/sizedBody.ts
+++ b/forwarding/src/sizedBody.ts
@@ -1,6 +1,6 @@
-import { ok, type Result } from "neverthrow";
 import type { BodyDecoder } from "./bodyDecoder.js";
 import type { ByteCursor } from "./byteCursor.js";
+import type { ContentSink } from "./contentSink.js";
 import type { ResponseFault } from "./responseFault.js";
 
 /** A body whose length in bytes is known. */
@@ -13,9 +13,10 @@
         return this.missingBytes === 0;
     }
 
-    decode(input: ByteCursor): Result<Buffer, ResponseFault> {
-        const content = input.take(this.missingBytes);
-        this.missingBytes -= content.length;
-        return ok(content);
+    decode(input: ByteCursor, content: ContentSink): ResponseFault | undefined {
+        const start = input.offset;
+        const size = input.skip(this.missingBytes);
+        this.missingBytes -= size;
+        return content.append(input.bytes, start, start + size);
     }
 }
--- a/forwarding/src/unframedBody.ts
+++ b/forwarding/src/unframedBody.ts
@@ -1,6 +1,6 @@
-import { ok, type Result } from "neverthrow";
 import type { BodyDecoder } from "./bodyDecoder.js";
 import type { ByteCursor } from "./byteCursor.js";
+import type { ContentSink } from "./contentSink.js";
 import type { ResponseFault } from "./responseFault.js";
 
 /** A body without a stated length, which ends with its connection. */
@@ -8,7 +8,9 @@
     readonly isComplete = false;
     readonly endsWithConnection = true;
 
-    decode(input: ByteCursor): Result<Buffer, ResponseFault> {
-        return ok(input.take(Infinity));
+    decode(input: ByteCursor, content: ContentSink): ResponseFault | undefined {
+        const start = input.offset;
+        const size = input.skip(Infinity);
+        return content.append(input.bytes, start, start + size);
     }
 }
--- a/runtime/src/index.ts
+++ b/runtime/src/index.ts
@@ -1,6 +1,7 @@
 export { collectProcessMetrics } from "./collectProcessMetrics.js";
 export type { Endpoint } from "./endpoint.js";
 export { failureFromParserError } from "./failureFromParserError.js";
+export { GrowingBuffer } from "./growingBuffer.js";
 export { lingerOnClose } from "./lingerOnClose.js";
 export { listen } from "./listen.js";
 export { monotonicNow } from "./monotonicNow.js";
