Give up responses that consist mostly of framing

A target could make a host read 1 MB of framing for each response, in 170,000 chunks.

Cause: the bound on what is no content was the same for a body of a few bytes as for one of 32 MB.

Change: a body may have as many bytes of framing as of content, and 64 KB more. Chunks of five bytes and more always pass, smaller ones for the first 16,000 of them, so that targets that flush small pieces are served; chunks of one byte are given up after 98 KB.

The test reads chunks of one byte until they are given up: 1,310,760 bytes before, at most 262,144 after. Sound bodies of 16,000 pieces of one byte, 100,000 of five and 60,000 of sixteen are complete.

--- a/forwarding/src/chunkedBody.ts
+++ b/forwarding/src/chunkedBody.ts
@@ -10,12 +10,20 @@
 const CARRIAGE_RETURN = 0x0d;
 const MAX_TRAILER_BYTES = 16 * 1024;
 const MAX_TRAILER_FIELDS = 100;
+/** A body may have as many bytes of framing as of content, as targets that flush small pieces do, and this many more. */
+const MIN_FRAMING_LIMIT_BYTES = 64 * 1024;
+const LINE_END_BYTES = 2;
 
-/** A body in chunks with their sizes, followed by trailers, which are dropped. */
+/**
+ * A body in chunks with their sizes, followed by trailers, which are dropped. One that consists mostly of framing is given up, so that
+ * chunks of five bytes and more always pass, and smaller ones at the start of a body.
+ */
 export class ChunkedBody implements BodyDecoder {
     readonly endsWithConnection = false;
     private part: "size" | "content" | "contentReturn" | "contentLineFeed" | "trailers" | "complete" = "size";
     private missingBytes = 0;
+    private contentBytes = 0;
+    private framingBytes = 0;
     private trailerFields = 0;
     private readonly size = new ChunkSize();
     private readonly trailers = new LineReader(MAX_TRAILER_BYTES);
@@ -50,19 +58,24 @@
     }
 
     private takeSize(input: ByteCursor): ResponseFault | undefined {
+        const start = input.offset;
         const fault = this.size.read(input);
-        if (fault === undefined && this.size.isComplete) {
-            this.missingBytes = this.size.value;
-            this.part = this.missingBytes === 0 ? "trailers" : "content";
-            this.size.reset();
+        this.framingBytes += input.offset - start;
+        if (fault !== undefined || !this.size.isComplete) {
+            return fault;
         }
-        return fault;
+        this.framingBytes += LINE_END_BYTES;
+        this.missingBytes = this.size.value;
+        this.part = this.missingBytes === 0 ? "trailers" : "content";
+        this.size.reset();
+        return this.framingBytes > MIN_FRAMING_LIMIT_BYTES + this.contentBytes ? "overhead" : undefined;
     }
 
     private takeContent(input: ByteCursor, content: ContentSink): ResponseFault | undefined {
         const start = input.offset;
         const size = input.skip(this.missingBytes);
         this.missingBytes -= size;
+        this.contentBytes += size;
         if (this.missingBytes === 0) {
             this.part = "contentReturn";
         }
