Collect the body of a request in one buffer

Callers saw: a caller that uploads in chunks of one byte ended the process of a host ("Reached heap limit"), and with it the requests of all others there.

Cause: the body was kept as one buffer object for each chunk, and the limit counted the bytes of the chunks.

The cause is the one of responses in small chunks, on the path of requests.

Why this works: one buffer, at most twice as large as what has arrived, and the limit of all bodies counts its capacity.

--- a/forwarding/test/endlessResponses.test.ts
+++ b/forwarding/test/endlessResponses.test.ts
@@ -1,8 +1,6 @@
+import { liveBytes } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { ResponseMemory } from "../src/responseMemory.js";
 import { ResponseReader } from "../src/responseReader.js";
 
@@ -13,7 +11,6 @@
 const MAX_READ_BYTES = 2 * MB;
 /** Bytes that a reader may take in before it gives up on chunks of one byte. */
 const MAX_SMALL_CHUNK_BYTES = 256 * 1024;
-const BUFFER_RELEASE_MS = 500;
 const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 function createReader({ kind = "own" as "own" | "stray", memory = new ResponseMemory({ maxBytes: 64 * MB }) } = {}) {
@@ -34,17 +31,6 @@
     return bytes;
 }
 
-/** Memory that is in use after a garbage collection, in bytes. Buffers are freed in the background for a while after one. */
-async function liveBytes(): Promise<number> {
-    setFlagsFromString("--expose-gc");
-    const collectGarbage = runInNewContext("gc") as () => void;
-    collectGarbage();
-    await sleep(BUFFER_RELEASE_MS);
-    collectGarbage();
-    const { heapUsed, arrayBuffers } = process.memoryUsage();
-    return heapUsed + arrayBuffers;
-}
-
 function fullResponse(length: number): Buffer {
     return Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n`), Buffer.alloc(length)]);
 }
--- a/gateway/src/requestBodyBuffer.ts
+++ b/gateway/src/requestBodyBuffer.ts
@@ -1,4 +1,5 @@
 import { Failure } from "@pistachioreel/result-code";
+import { GrowingBuffer } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 
@@ -12,10 +13,10 @@
 
 /** Buffers request bodies, so that they can be sent again to another target, within a limit for all together. */
 export class RequestBodyBuffer {
-    private bufferedBytes = 0;
+    private reservedBytes = 0;
 
-    /** @param maxBufferedBytes Maximum size of all buffered bodies together. */
-    constructor(private readonly maxBufferedBytes: number) {}
+    /** @param maxReservedBytes Most memory of all buffered bodies together, in bytes. */
+    constructor(private readonly maxReservedBytes: number) {}
 
     /**
      * Reads the complete body of a request. A failure releases what was read of it.
@@ -27,27 +28,31 @@
         if (headers["transfer-encoding"] === undefined && headers["content-length"] === undefined) {
             return ok({ bytes: undefined, release: () => undefined });
         }
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const body = new GrowingBuffer({ maxBytes: Math.min(maxBytes, Number(headers["content-length"] ?? Infinity)) });
+        let reservedBytes = 0;
         const release = () => {
-            this.bufferedBytes -= bytes;
-            bytes = 0;
+            this.reservedBytes -= reservedBytes;
+            reservedBytes = 0;
+            body.clear();
         };
         const failure = await this.readChunks(request, chunk => {
-            chunks.push(chunk);
-            bytes += chunk.length;
-            this.bufferedBytes += chunk.length;
-            return bytes > maxBytes
-                ? new Failure("bodyTooLarge")
-                : this.bufferedBytes > this.maxBufferedBytes
-                ? new Failure("memoryFull")
-                : undefined;
+            if (body.size + chunk.length > maxBytes) {
+                return new Failure("bodyTooLarge");
+            }
+            const addedBytes = body.capacityWith(chunk.length) - body.capacity;
+            if (this.reservedBytes + addedBytes > this.maxReservedBytes) {
+                return new Failure("memoryFull");
+            }
+            this.reservedBytes += addedBytes;
+            reservedBytes += addedBytes;
+            body.append(chunk);
+            return undefined;
         });
         if (failure !== undefined) {
             release();
             return err(failure);
         }
-        return ok({ bytes: Buffer.concat(chunks), release });
+        return ok({ bytes: body.bytes, release });
     }
 
     /** Passes chunks to the callback until the end of the body, or until the callback returns a failure. */
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -7,6 +7,7 @@
 export { type ConnectionFault, FaultProxy } from "./faultProxy.js";
 export { Fleet, type FleetTarget } from "./fleet.js";
 export { getFreePort } from "./getFreePort.js";
+export { liveBytes } from "./liveBytes.js";
 export { LoopbackNetwork } from "./loopbackNetwork.js";
 export { PartitionableFleet } from "./partitionableFleet.js";
 export { runProgram } from "./runProgram.js";
