Refuse bodies of requests that arrive in very many small pieces

Callers saw: while one caller uploads in chunks of one byte, the other requests of the host go unanswered.

Cause: Node's parser reports each chunk on its own, and only the bytes were bounded: 2 MB of body in chunks of one byte are two million calls.

Change: beyond 4,096 pieces a body may have one for every 16 bytes. More are refused as bodyFragmented (PR3033, 400), which has not run. Callers that write small values are served: 4,000 pieces of one byte and 60,000 of sixteen in the test.

The test sends chunks of one byte until the body is given up: not within 1 MB before, within 64 KB after.

--- a/gateway/src/requestBodyBuffer.ts
+++ b/gateway/src/requestBodyBuffer.ts
@@ -1,5 +1,5 @@
 import { Failure } from "@pistachioreel/result-code";
-import { GrowingBuffer } from "@pistachioreel/runtime";
+import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 
@@ -21,7 +21,7 @@
     /**
      * Reads the complete body of a request. A failure releases what was read of it.
      *
-     * Failures: `bodyTooLarge`, `memoryFull`, and `requestMalformed` if the connection closed before the body's end.
+     * Failures: `bodyTooLarge`, `bodyFragmented`, `memoryFull`, and `requestMalformed` if the connection closed before the body's end.
      */
     async read(request: IncomingMessage, maxBytes: number): Promise<Result<BufferedBody, Failure>> {
         const { headers } = request;
@@ -29,6 +29,7 @@
             return ok({ bytes: undefined, release: () => undefined });
         }
         const body = new GrowingBuffer({ maxBytes: Math.min(maxBytes, Number(headers["content-length"] ?? Infinity)) });
+        const pieces = new PieceCount();
         let reservedBytes = 0;
         const release = () => {
             this.reservedBytes -= reservedBytes;
@@ -39,6 +40,9 @@
             if (body.size + chunk.length > maxBytes) {
                 return new Failure("bodyTooLarge");
             }
+            if (pieces.add(chunk.length)) {
+                return new Failure("bodyFragmented");
+            }
             const addedBytes = body.capacityWith(chunk.length) - body.capacity;
             if (this.reservedBytes + addedBytes > this.maxReservedBytes) {
                 return new Failure("memoryFull");
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -138,6 +138,13 @@
         "the bodies that the host holds fill its memory",
         "use another host of the look-up, or retry later",
     ),
+    bodyFragmented: code(
+        3033,
+        400,
+        "not run",
+        "the body arrives in too many small pieces",
+        "send it in pieces of 16 bytes or more",
+    ),
 
     // 4xxx: requests that may have run
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
--- a/runtime/src/index.ts
+++ b/runtime/src/index.ts
@@ -6,5 +6,6 @@
 export { listen } from "./listen.js";
 export { monotonicNow } from "./monotonicNow.js";
 export { parseEndpoint } from "./parseEndpoint.js";
+export { PieceCount } from "./pieceCount.js";
 export { rejectMalformedRequest } from "./rejectMalformedRequest.js";
 export { runPeriodically } from "./runPeriodically.js";
