Read on after an early refusal until the caller has sent all

Callers saw: one that sends all of its request before it reads lost the refusal to a reset, if that took more than a second or the body did not fit into the buffers of the operating system.

Cause: the connection was closed after one second.

Change: the bytes are taken away from the parser and dropped, for up to 10 s and 16 MB.

--- a/runtime/src/lingerOnClose.ts
+++ b/runtime/src/lingerOnClose.ts
@@ -1,7 +1,10 @@
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 
 /** Time for a caller to finish sending and to read the response, in ms. */
-const LINGER_MS = 1_000;
+const LINGER_MS = 10_000;
+/** Bytes that a caller may still send meanwhile. */
+const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
 
 /**
  * Delays closing the connection of a request that is refused before it has been read: what the caller still sends is
@@ -13,8 +16,22 @@
     // Node's HTTP server calls this after the last response of a connection.
     socket.destroySoon = () => {
         socket.end();
-        socket.removeAllListeners("data").resume();
+        // Restarts a socket that was paused because nobody read the request.
+        request.removeAllListeners("data").resume();
+        setImmediate(() => discardIncoming(socket));
         const timer = setTimeout(() => socket.destroy(), LINGER_MS);
         socket.once("end", () => socket.destroy()).once("close", () => clearTimeout(timer));
     };
 }
+
+/** Takes the bytes of a socket away from Node's parser, which would report each chunk of the body on its own, and drops them. */
+function discardIncoming(socket: Socket): void {
+    let discardedBytes = 0;
+    socket.removeAllListeners("data");
+    socket.on("data", (bytes: Buffer) => {
+        discardedBytes += bytes.length;
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            socket.destroy();
+        }
+    });
+}
