Decide from the head of a request whether its body is read

Callers saw: anyone who reached the port, without a key, could end a host, keep it busy, or fill its memory for bodies, so that proper uploads were refused with 503.

Cause: the gateway read the whole body before it looked at route, key and rate.

Change: RequestAdmission decides from the head alone: size of the headers, request id, route, key, a stated length above the bound, a host that ends before the deadline, and the rate of the workspace. A refusal goes out at once; Expect: 100-continue gets its final status or 100 by the same decision. A stated body of up to 64 KB is dropped and its connection stays open; any other connection is closed once the caller has sent the rest. A planned stop waits for it.

--- a/gateway/src/callerExchange.ts
+++ b/gateway/src/callerExchange.ts
@@ -6,6 +6,7 @@
 import type { DetouredRequest } from "./detouredRequest.js";
 import { detourHeaders } from "./detourHeaders.js";
 import type { Dialect } from "./dialect.js";
+import { statedBodyBytes } from "./statedBodyBytes.js";
 
 interface CallerExchangeOptions {
     readonly dialect: Dialect;
@@ -22,21 +23,25 @@
     readonly retryAfterMs?: number | undefined;
     /** Monotonic time in ms of the request's deadline, which limits `retryAfterMs`. */
     readonly deadlineAt?: number;
-    /** Whether the rest of the request is not going to be read, so that its connection has to close. */
-    readonly isUnreadable?: boolean;
 }
 
 /** Longest retry delay, as a share of the time until the deadline, so that the retry itself still has time to run. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
+/** A body of this length or less is read and dropped after a refusal, so that its connection can stay open. */
+const MAX_DROPPED_BODY_BYTES = 64 * 1024;
 
 /** One HTTP exchange with a caller: its parsed request, its cancellation and the response. */
 export class CallerExchange {
     readonly caller: CallerRequest;
     /** Monotonic time in ms at which the head of the request arrived. */
     readonly arrivedAt: number;
-    /** Resolves once the response has been handed to the operating system, or the connection has closed. */
+    /**
+     * Resolves once the response has been handed to the operating system, or the connection has closed. Waits for the latter after a
+     * refusal that leaves a body unread, as the caller could lose the refusal otherwise.
+     */
     readonly ended: Promise<void>;
     private readonly abortController = new AbortController();
+    private isLingering = false;
 
     constructor(private readonly opts: CallerExchangeOptions) {
         const { dialect, request, response, now } = opts;
@@ -55,7 +60,7 @@
                 request.socket.off("close", finish);
                 resolve();
             };
-            response.once("close", finish);
+            response.once("close", () => this.isLingering || finish());
             // A response that waits for an earlier one of its connection is not told that the connection has closed.
             request.socket.once("close", finish);
         });
@@ -76,6 +81,13 @@
         return Math.round(this.opts.now() - this.arrivedAt);
     }
 
+    /** Tells a caller that waits for it (`Expect: 100-continue`) to send the body. */
+    inviteBody(): void {
+        if (this.opts.request.headers.expect !== undefined) {
+            this.opts.response.writeContinue();
+        }
+    }
+
     /** Sends a target's response to the caller. */
     respond(targetResponse: TargetResponse): void {
         const { dialect, response } = this.opts;
@@ -97,7 +109,7 @@
     }
 
     /** Sends a failure of this host to the caller, as JSON with the result code's number, name and hint. */
-    refuse(failure: Failure, { retryAfterMs, deadlineAt = Infinity, isUnreadable = false }: RefusalOptions = {}): void {
+    refuse(failure: Failure, { retryAfterMs, deadlineAt = Infinity }: RefusalOptions = {}): void {
         const { dialect, request, response, detour, now } = this.opts;
         if (response.headersSent || response.destroyed) {
             return;
@@ -106,8 +118,9 @@
         const waitMs = retryAfterMs === undefined ? undefined : Math.min(retryAfterMs, maxMs);
         const { number: code, code: name, hint } = failure;
         const body = JSON.stringify({ code, name, hint });
-        if (isUnreadable) {
+        if (this.leavesBodyUnread()) {
             response.shouldKeepAlive = false;
+            this.isLingering = true;
             lingerOnClose(request);
         }
         response.writeHead(resultCodes[name].status, [
@@ -125,4 +138,15 @@
     closeAfterResponse(): void {
         this.opts.response.shouldKeepAlive = false;
     }
+
+    /** Whether the rest of the body is not going to be read, so that its connection has to close. */
+    private leavesBodyUnread(): boolean {
+        const { request } = this.opts;
+        if (request.complete) {
+            return false;
+        }
+        const hasBeenRead = request.readableFlowing !== null;
+        const bodyBytes = statedBodyBytes(request) ?? Infinity;
+        return hasBeenRead || request.headers.expect !== undefined || bodyBytes > MAX_DROPPED_BODY_BYTES;
+    }
 }
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -145,6 +145,7 @@
             desiredState: () => this.platformState.stateInForce,
             limits: this.workspaceLimits,
             relay: this.createRelay(),
+            endsAt: () => this.endsAt,
             metrics,
             logger,
             maxBufferedBytes: memoryBytes * BODY_MEMORY_SHARE,
--- a/gateway/src/requestBodyBuffer.ts
+++ b/gateway/src/requestBodyBuffer.ts
@@ -2,6 +2,7 @@
 import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
+import { statedBodyBytes } from "./statedBodyBytes.js";
 
 /** A body that is kept in memory until its request has ended. */
 interface BufferedBody {
@@ -11,6 +12,11 @@
     release(): void;
 }
 
+interface ReadOptions {
+    /** Largest body that is accepted, in bytes. */
+    readonly maxBytes: number;
+}
+
 /** Buffers request bodies, so that they can be sent again to another target, within a limit for all together. */
 export class RequestBodyBuffer {
     private reservedBytes = 0;
@@ -23,12 +29,13 @@
      *
      * Failures: `bodyTooLarge`, `bodyFragmented`, `memoryFull`, and `requestMalformed` if the connection closed before the body's end.
      */
-    async read(request: IncomingMessage, maxBytes: number): Promise<Result<BufferedBody, Failure>> {
-        const { headers } = request;
-        if (headers["transfer-encoding"] === undefined && headers["content-length"] === undefined) {
-            return ok({ bytes: undefined, release: () => undefined });
+    async read(request: IncomingMessage, { maxBytes }: ReadOptions): Promise<Result<BufferedBody, Failure>> {
+        const statedBytes = statedBodyBytes(request);
+        if (statedBytes === 0) {
+            const bytes = request.headers["content-length"] === undefined ? undefined : Buffer.alloc(0);
+            return ok({ bytes, release: () => undefined });
         }
-        const body = new GrowingBuffer({ maxBytes: Math.min(maxBytes, Number(headers["content-length"] ?? Infinity)) });
+        const body = new GrowingBuffer({ maxBytes: Math.min(maxBytes, statedBytes ?? Infinity) });
         const pieces = new PieceCount();
         let reservedBytes = 0;
         const release = () => {
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -1,11 +1,11 @@
 import { type DesiredState, type Route, routeKey, TrafficSplitter, type Workspace } from "@pistachioreel/desired-state";
 import type { Logger } from "@pistachioreel/logging";
-import { Failure } from "@pistachioreel/result-code";
+import type { Failure } from "@pistachioreel/result-code";
 import { failureFromParserError, rejectMalformedRequest } from "@pistachioreel/runtime";
-import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import type { AdmittedRequest } from "./admittedRequest.js";
 import { CallerConnections } from "./callerConnections.js";
 import { CallerExchange } from "./callerExchange.js";
 import { CallerWaitEstimator } from "./callerWaitEstimator.js";
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { objectKey } from "./objectKey.js";
 import type { RelayedRequest } from "./relayedRequest.js";
+import { RequestAdmission } from "./requestAdmission.js";
 import { RequestBodyBuffer } from "./requestBodyBuffer.js";
 import type { RequestRelay } from "./requestRelay.js";
 import type { WorkspaceLimits } from "./workspaceLimits.js";
@@ -25,6 +26,8 @@
     readonly desiredState: () => DesiredState | undefined;
     readonly limits: WorkspaceLimits;
     readonly relay: RequestRelay;
+    /** Monotonic time in ms at which this host ends; infinite unless it is shutting down. */
+    readonly endsAt: () => number;
     readonly metrics: GatewayMetrics;
     readonly logger: Logger;
     /** Maximum size of all buffered request bodies together. */
@@ -33,15 +36,6 @@
     readonly now: () => number;
 }
 
-/** Result of checking a request against the desired state. */
-interface AdmittedRequest {
-    readonly id: string;
-    readonly route: Route;
-    readonly workspace: Workspace | undefined;
-    /** Monotonic time in ms of the caller's deadline or the route's timeout, whichever is earlier. */
-    readonly deadlineAt: number;
-}
-
 /** What is known about a refused request, for the log entry and the response. */
 interface RefusalContext {
     readonly route?: Route;
@@ -52,8 +46,6 @@
     readonly retryAfterMs?: number | undefined;
     /** Monotonic time in ms of the request's deadline. */
     readonly deadlineAt?: number;
-    /** Whether the rest of the request is not going to be read, so that its connection has to close. */
-    readonly isUnreadable?: boolean;
 }
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -61,14 +53,13 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 const MS_PER_SECOND = 1_000;
-/** A starting host usually has its first desired state within this time. */
-const NOT_READY_RETRY_MS = 300;
 
 /** HTTP server for callers: reads and admits requests, has them relayed to targets, and sends the responses. */
 export class RequestListener {
     readonly server: Server;
     private readonly trafficSplitter = new TrafficSplitter();
     private readonly waitEstimator = new CallerWaitEstimator();
+    private readonly admission: RequestAdmission;
     private readonly bodyBuffer: RequestBodyBuffer;
     private readonly eventLoopBarrier: EventLoopBarrier;
     private readonly callerConnections = new CallerConnections();
@@ -76,6 +67,7 @@
     private isLeaving = false;
 
     constructor(private readonly opts: RequestListenerOptions) {
+        this.admission = new RequestAdmission(opts);
         this.bodyBuffer = new RequestBodyBuffer(opts.maxBufferedBytes);
         this.eventLoopBarrier = new EventLoopBarrier({ now: opts.now });
         this.server = createServer({
@@ -90,6 +82,8 @@
                 response.destroy();
             });
         });
+        // Without a listener, Node invites the body of each request that waits for it.
+        this.server.on("checkContinue", (request, response) => this.server.emit("request", request, response));
         this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
             rejectMalformedRequest(socket, failureFromParserError(error));
         });
@@ -149,55 +143,26 @@
     }
 
     private async serve(request: IncomingMessage, exchange: CallerExchange): Promise<void> {
-        const limits = this.opts.desiredState()?.limits;
-        if (limits !== undefined && headerSizeBytes(request) > limits.headerBytes) {
-            this.refuse(exchange, new Failure("headerTooLarge"), { isUnreadable: true });
+        const admission = this.admission.admit(request, exchange);
+        if (admission.isErr()) {
+            const { failure, ...context } = admission.error;
+            this.refuse(exchange, failure, context);
             return;
         }
-        const body = await this.bodyBuffer.read(request, limits?.bodyBytes ?? Infinity);
+        const admitted = admission.value;
+        const { route, workspace, deadlineAt, maxBodyBytes: maxBytes } = admitted;
+        exchange.inviteBody();
+        const body = await this.bodyBuffer.read(request, { maxBytes });
         if (body.isErr()) {
-            this.refuse(exchange, body.error, { isUnreadable: true });
+            this.refuse(exchange, body.error, { route, workspace, deadlineAt });
             return;
         }
         const { bytes, release } = body.value;
-        const admitted = this.admit(exchange);
-        if (admitted.isOk()) {
-            await this.relay(request, exchange, admitted.value, bytes);
-        }
-        else {
-            const retryAfterMs = admitted.error.code === "notReady" ? NOT_READY_RETRY_MS : undefined;
-            this.refuse(exchange, admitted.error, { retryAfterMs });
-        }
+        await this.relay(request, exchange, admitted, bytes);
         release();
     }
 
-    /**
-     * Finds the route and workspace of a request.
-     *
-     * Failures: `notReady`, `requestMalformed`, `routeUnknown`, `keyMissing` and `keyRejected`.
-     */
-    private admit({ caller, arrivedAt }: CallerExchange): Result<AdmittedRequest, Failure> {
-        const state = this.opts.desiredState();
-        if (state === undefined) {
-            return err(new Failure("notReady"));
-        }
-        const { id, key } = caller;
-        if (id === undefined) {
-            return err(new Failure("requestMalformed", "request id missing"));
-        }
-        const route = state.findRoute(caller.host, caller.path);
-        if (route === undefined) {
-            return err(new Failure("routeUnknown"));
-        }
-        const workspace = key === undefined ? undefined : state.findWorkspace(key);
-        if (state.needsKeys && !route.isPublic && workspace === undefined) {
-            return err(new Failure(key === undefined ? "keyMissing" : "keyRejected"));
-        }
-        const deadlineAt = arrivedAt + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
-        return ok({ id, route, workspace, deadlineAt });
-    }
-
-    /** Relays an admitted request, unless its workspace is over its rate limit, and responds. */
+    /** Relays an admitted request and responds. */
     private async relay(
         request: IncomingMessage,
         exchange: CallerExchange,
@@ -205,13 +170,7 @@
         body: Buffer | undefined,
     ): Promise<void> {
         const { route, workspace, deadlineAt } = admitted;
-        const { limits, relay, metrics, logger } = this.opts;
-        const isLimited = workspace !== undefined && exchange.detour === undefined;
-        const retryAfterMs = isLimited ? limits.admit(workspace) : undefined;
-        if (retryAfterMs !== undefined) {
-            this.refuse(exchange, new Failure("rateExceeded"), { retryAfterMs, deadlineAt, route, workspace });
-            return;
-        }
+        const { relay, metrics, logger } = this.opts;
         await this.eventLoopBarrier.wait();
         const relayed = this.toRelayedRequest(request, exchange, admitted, body);
         const result = await relay.run(relayed, exchange.signal);
@@ -285,9 +244,3 @@
         }
     }
 }
-
-/** Size of a request's headers in bytes, without the request line. */
-function headerSizeBytes({ rawHeaders }: IncomingMessage): number {
-    // Two bytes follow each name (colon and space) and each value (CR and LF).
-    return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
-}
