End requests whose body does not arrive before their deadline

Callers saw: uploads refused with 503 (memoryFull) while others had begun an upload and sent nothing more.

Slow uploads that are complete in time are served as before.

--- a/gateway/src/requestBodyBuffer.ts
+++ b/gateway/src/requestBodyBuffer.ts
@@ -15,6 +15,8 @@
 interface ReadOptions {
     /** Largest body that is accepted, in bytes. */
     readonly maxBytes: number;
+    /** Time within which all of the body must arrive, in ms. */
+    readonly timeoutMs: number;
 }
 
 /** Buffers request bodies, so that they can be sent again to another target, within a limit for all together. */
@@ -27,9 +29,9 @@
     /**
      * Reads the complete body of a request. A failure releases what was read of it.
      *
-     * Failures: `bodyTooLarge`, `bodyFragmented`, `memoryFull`, and `requestMalformed` if the connection closed before the body's end.
+     * Failures: `bodyTooLarge`, `bodyFragmented`, `memoryFull`, `requestTimeout`, and `requestMalformed` if the connection closed before the body's end.
      */
-    async read(request: IncomingMessage, { maxBytes }: ReadOptions): Promise<Result<BufferedBody, Failure>> {
+    async read(request: IncomingMessage, { maxBytes, timeoutMs }: ReadOptions): Promise<Result<BufferedBody, Failure>> {
         const statedBytes = statedBodyBytes(request);
         if (statedBytes === 0) {
             const bytes = request.headers["content-length"] === undefined ? undefined : Buffer.alloc(0);
@@ -43,7 +45,7 @@
             reservedBytes = 0;
             body.clear();
         };
-        const failure = await this.readChunks(request, chunk => {
+        const failure = await this.readChunks(request, timeoutMs, chunk => {
             if (body.size + chunk.length > maxBytes) {
                 return new Failure("bodyTooLarge");
             }
@@ -66,23 +68,35 @@
         return ok({ bytes: body.bytes, release });
     }
 
-    /** Passes chunks to the callback until the end of the body, or until the callback returns a failure. */
+    /**
+     * Passes chunks to the callback until the end of the body, until the callback returns a failure, or until the timeout, after which
+     * nothing more is read.
+     */
     private readChunks(
         request: IncomingMessage,
+        timeoutMs: number,
         onChunk: (chunk: Buffer) => Failure | undefined,
     ): Promise<Failure | undefined> {
         return new Promise(resolve => {
+            const finish = (failure?: Failure) => {
+                clearTimeout(timer);
+                resolve(failure);
+            };
+            const stop = (failure: Failure) => {
+                request.removeAllListeners("data").pause();
+                finish(failure);
+            };
+            const timer = setTimeout(() => stop(new Failure("requestTimeout")), timeoutMs);
             request.on("data", (chunk: Buffer) => {
                 const failure = onChunk(chunk);
                 if (failure !== undefined) {
-                    request.removeAllListeners("data").pause();
-                    resolve(failure);
+                    stop(failure);
                 }
             });
-            request.once("end", () => resolve(undefined));
+            request.once("end", () => finish());
             request.once(
                 "close",
-                () => resolve(new Failure("requestMalformed", "the connection closed before the body was complete")),
+                () => finish(new Failure("requestMalformed", "the connection closed before the body was complete")),
             );
         });
     }
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -152,7 +152,8 @@
         const admitted = admission.value;
         const { route, workspace, deadlineAt, maxBodyBytes: maxBytes } = admitted;
         exchange.inviteBody();
-        const body = await this.bodyBuffer.read(request, { maxBytes });
+        const timeoutMs = Math.max(0, deadlineAt - this.opts.now());
+        const body = await this.bodyBuffer.read(request, { maxBytes, timeoutMs });
         if (body.isErr()) {
             this.refuse(exchange, body.error, { route, workspace, deadlineAt });
             return;
--- a/gateway/test/smallPieces.test.ts
+++ b/gateway/test/smallPieces.test.ts
@@ -26,7 +26,7 @@
         const results: (Failure | Buffer | undefined)[] = [];
         const server = createServer((request, response) => {
             requests.push(request);
-            void buffer.read(request, { maxBytes: 32 * MB }).then(result => {
+            void buffer.read(request, { maxBytes: 32 * MB, timeoutMs: READ_TIMEOUT_MS }).then(result => {
                 results.push(result.isOk() ? result.value.bytes : result.error);
                 response.end();
             });
