Answer a request in whose relay an error is thrown, and free its body

Cause: the memory of a body was given back only if relaying returned.

Change: it is given back in any case; the caller gets 502 with PR4001 (outcomeUnknown), as the request may have run, and the log names it.

--- a/gateway/src/callerExchange.ts
+++ b/gateway/src/callerExchange.ts
@@ -76,6 +76,12 @@
         return this.opts.detour;
     }
 
+    /** Whether no response has begun and the connection is open. */
+    get canRespond(): boolean {
+        const { response } = this.opts;
+        return !response.headersSent && !response.destroyed;
+    }
+
     /** Time since the request arrived, in ms. */
     get elapsedMs(): number {
         return Math.round(this.opts.now() - this.arrivedAt);
@@ -111,7 +117,7 @@
     /** Sends a failure of this host to the caller, as JSON with the result code's number, name and hint. */
     refuse(failure: Failure, { retryAfterMs, deadlineAt = Infinity }: RefusalOptions = {}): void {
         const { dialect, request, response, detour, now } = this.opts;
-        if (response.headersSent || response.destroyed) {
+        if (!this.canRespond) {
             return;
         }
         const maxMs = Math.max(0, deadlineAt - now()) * MAX_RETRY_AFTER_SHARE;
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -1,6 +1,6 @@
 import { type DesiredState, type Route, routeKey, TrafficSplitter, type Workspace } from "@pistachioreel/desired-state";
 import type { Logger } from "@pistachioreel/logging";
-import type { Failure } from "@pistachioreel/result-code";
+import { Failure } from "@pistachioreel/result-code";
 import { failureFromParserError, rejectMalformedRequest } from "@pistachioreel/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -78,7 +78,7 @@
             noDelay: true,
         }, (request, response) => {
             this.handle(request, response).catch((cause: Error) => {
-                this.opts.logger.error({ event: "request-crashed", fields: { reason: cause.message } });
+                this.logCrash(cause);
                 response.destroy();
             });
         });
@@ -133,7 +133,7 @@
         const endRequest = this.callerConnections.startRequest(request.socket);
         this.runningCount++;
         try {
-            await this.serve(request, exchange);
+            await this.serveSafely(request, exchange);
             await exchange.ended;
         }
         finally {
@@ -142,6 +142,24 @@
         }
     }
 
+    /** Answers the caller also if an error is thrown, after which the request may have run. */
+    private async serveSafely(request: IncomingMessage, exchange: CallerExchange): Promise<void> {
+        try {
+            await this.serve(request, exchange);
+        }
+        catch (cause) {
+            if (!exchange.canRespond) {
+                throw cause;
+            }
+            this.logCrash(cause as Error, exchange.caller.id);
+            this.refuse(exchange, new Failure("outcomeUnknown"));
+        }
+    }
+
+    private logCrash({ message: reason }: Error, request?: string): void {
+        this.opts.logger.error({ event: "request-crashed", fields: { request, reason } });
+    }
+
     private async serve(request: IncomingMessage, exchange: CallerExchange): Promise<void> {
         const admission = this.admission.admit(request, exchange);
         if (admission.isErr()) {
@@ -159,8 +177,12 @@
             return;
         }
         const { bytes, release } = body.value;
-        await this.relay(request, exchange, admitted, bytes);
-        release();
+        try {
+            await this.relay(request, exchange, admitted, bytes);
+        }
+        finally {
+            release();
+        }
     }
 
     /** Relays an admitted request and responds. */
