--- a/delivery/src/attempt.ts
+++ b/delivery/src/attempt.ts
@@ -1,3 +1,4 @@
+import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
 import { createHash, type Hash } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
@@ -34,8 +35,8 @@
     private refused = false;
     private unframed = false;
     private head: ResponseHead = { status: 502, headers: [] };
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly buffered = new GrowingBuffer();
+    private readonly pieces = new PieceCount();
     private controller: Dispatcher.DispatchController | undefined;
     private stoppedBy: AttemptResult["stoppedBy"];
     private readonly digest: Hash | undefined;
@@ -94,10 +95,13 @@
             return;
         }
         this.opts.onProgress();
+        if (this.pieces.add(chunk.length)) {
+            controller.abort(new Error("the response arrives in too many small pieces"));
+            return;
+        }
         this.digest?.update(chunk);
-        if (!this.streaming && this.bufferedBytes + chunk.length <= MAX_BUFFERED_RESPONSE_BYTES) {
-            this.bufferedChunks.push(chunk);
-            this.bufferedBytes += chunk.length;
+        if (!this.streaming && this.buffered.size + chunk.length <= MAX_BUFFERED_RESPONSE_BYTES) {
+            this.buffered.append(chunk);
             return;
         }
         this.startStreaming();
@@ -110,11 +114,7 @@
             return;
         }
         const { response } = this.opts;
-        const body = this.streaming
-            ? undefined
-            : this.bufferedChunks.length === 1
-            ? this.bufferedChunks[0]
-            : Buffer.concat(this.bufferedChunks);
+        const body = this.streaming ? undefined : this.buffered.bytes;
         if (!response.destroyed) {
             if (body !== undefined) {
                 this.writeHead(body.length);
@@ -145,9 +145,9 @@
         this.streaming = true;
         if (!this.opts.response.destroyed) {
             this.writeHead(undefined);
-            this.bufferedChunks.forEach(chunk => this.opts.response.write(chunk));
+            this.opts.response.write(this.buffered.bytes);
         }
-        this.bufferedChunks = [];
+        this.buffered.clear();
     }
 
     private forwardChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/delivery/src/readRequestBody.ts
+++ b/delivery/src/readRequestBody.ts
@@ -1,4 +1,5 @@
 import { Failure } from "@pistachioreel/result-code";
+import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import type { RequestBody } from "./requestBody.js";
@@ -16,7 +17,7 @@
 /**
  * Reads the body up to 64 KiB; what was read of a larger one is put back into the stream. `undefined` without a body.
  *
- * Failures, all before a byte was sent to a target: `bodyTooLarge`, `requestTimeout`, and `requestMalformed` if the
+ * Failures, all before a byte was sent to a target: `bodyTooLarge`, `bodyFragmented`, `requestTimeout`, and `requestMalformed` if the
  * connection closed before the end of the body.
  */
 export async function readRequestBody(
@@ -29,28 +30,31 @@
 
 function readHead(request: IncomingMessage, opts: ReadOptions): Promise<Result<RequestBody, Failure>> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const body = new GrowingBuffer();
+        const pieces = new PieceCount();
         const finish = (result: Result<RequestBody, Failure>) => {
             clearTimeout(timer);
             request.off("data", onData).off("end", onEnd).off("close", onClose).off("error", onClose);
             resolve(result);
         };
         const onData = (chunk: Buffer) => {
-            chunks.push(chunk);
-            bytes += chunk.length;
-            if (bytes > opts.maxBodyBytes) {
+            body.append(chunk);
+            if (body.size > opts.maxBodyBytes) {
                 request.pause();
                 finish(err(new Failure("bodyTooLarge")));
             }
-            else if (bytes > MAX_BUFFERED_BODY_BYTES) {
+            else if (pieces.add(chunk.length)) {
                 request.pause();
-                const head = Buffer.concat(chunks);
+                finish(err(new Failure("bodyFragmented")));
+            }
+            else if (body.size > MAX_BUFFERED_BODY_BYTES) {
+                request.pause();
+                const head = body.bytes;
                 request.unshift(head);
                 finish(ok({ head: head.subarray(0, MAX_BUFFERED_BODY_BYTES), isComplete: false }));
             }
         };
-        const onEnd = () => finish(ok({ head: Buffer.concat(chunks), isComplete: true }));
+        const onEnd = () => finish(ok({ head: body.bytes, isComplete: true }));
         const onClose = () =>
             finish(err(new Failure("requestMalformed", "the connection closed before the body was complete")));
         const timer = setTimeout(
