--- a/documents/src/documentReplicator.ts
+++ b/documents/src/documentReplicator.ts
@@ -1,4 +1,5 @@
 import type { Failure } from "@pistachioreel/result-code";
+import { GrowingBuffer } from "@pistachioreel/runtime";
 import type { Result } from "neverthrow";
 import { z } from "zod";
 import type { DocumentName } from "./documentName.js";
@@ -37,6 +38,9 @@
 
 /** Small enough for the send queue of a connection between hosts to hold two chunks. */
 const CHUNK_BYTES = 96 * 1024;
+/** All chunks but the last one have at least this size. */
+const MIN_CHUNK_BYTES = 1024;
+const MAX_DOCUMENT_BYTES = 64 * 1024 * 1024;
 const PULL_TIMEOUT_MS = 1_500;
 
 /** Replicates documents between hosts: heartbeats announce versions, and a host pulls newer ones from its peers. */
@@ -101,25 +105,26 @@
         }
     }
 
-    /** Pulls a complete document; `undefined` if the peer fails or its version changes between two chunks. */
+    /**
+     * Pulls a complete document; `undefined` if the peer fails, its version changes between two chunks, or it would take too many
+     * chunks or too much memory.
+     */
     private async pull(name: DocumentName, { hostId, version }: VersionOffer): Promise<FleetDocument | undefined> {
-        const chunks: Uint8Array[] = [];
-        for (let offset = 0, size = 1, pulledVersion = version; offset < size;) {
-            const message = { type: "pull", name, version: pulledVersion, offset };
+        const content = new GrowingBuffer();
+        for (let size = 1, pulledVersion = version; content.size < size;) {
+            const message = { type: "pull", name, version: pulledVersion, offset: content.size };
             const reply = await this.opts.peers.request(hostId, message, PULL_TIMEOUT_MS);
             const chunk = reply.isOk() ? chunkSchema.safeParse(reply.value).data : undefined;
-            if (chunk === undefined || chunk.name !== name || (offset > 0 && chunk.version !== pulledVersion)) {
+            if (chunk === undefined || chunk.name !== name || (content.size > 0 && chunk.version !== pulledVersion)) {
                 return undefined;
             }
-            chunks.push(chunk.bytes);
-            offset += chunk.bytes.length;
+            content.append(chunk.bytes);
             size = chunk.size;
             pulledVersion = chunk.version;
-            if (offset >= size) {
-                const content = Buffer.concat(chunks).toString();
-                return { name, version: pulledVersion, digest: chunk.digest, content };
+            if (content.size >= size) {
+                return { name, version: pulledVersion, digest: chunk.digest, content: content.bytes.toString() };
             }
-            if (chunk.bytes.length === 0) {
+            if (chunk.bytes.length < MIN_CHUNK_BYTES || size > MAX_DOCUMENT_BYTES) {
                 return undefined;
             }
         }
