Bound the responses of the store

The same cause as in bodies of requests, by reading: a response of the store was collected piece by piece without a bound, until its call timed out.

--- a/platform-store/src/storeConnection.ts
+++ b/platform-store/src/storeConnection.ts
@@ -1,7 +1,12 @@
 import { Failure } from "@pistachioreel/result-code";
+import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
+import type { Readable } from "node:stream";
 import { type Dispatcher, Pool } from "undici";
 
+/** Responses with a larger body count as failed. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
+
 interface StoreConnectionOptions {
     /** Maximum number of connections. */
     readonly connections: number;
@@ -55,7 +60,7 @@
                 headersTimeout: timeoutMs,
                 bodyTimeout: timeoutMs,
             });
-            return ok({ status: response.statusCode, headers: response.headers, text: await response.body.text() });
+            return ok({ status: response.statusCode, headers: response.headers, text: await readText(response.body) });
         }
         catch (cause) {
             const reason = cause instanceof Error ? cause.message : String(cause);
@@ -69,3 +74,19 @@
         await this.pool.destroy();
     }
 }
+
+/** Reads a body as UTF-8 text. Rejects if it is too large or arrives in too many small pieces, which closes its connection. */
+function readText(body: Readable): Promise<string> {
+    const text = new GrowingBuffer({ maxBytes: MAX_RESPONSE_BYTES });
+    const pieces = new PieceCount();
+    return new Promise((resolve, reject) => {
+        body.once("end", () => resolve(text.bytes.toString())).once("error", reject);
+        body.on("data", (piece: Buffer) => {
+            if (text.size + piece.length > MAX_RESPONSE_BYTES || pieces.add(piece.length)) {
+                body.destroy(new Error("the response is too large or in too many small pieces"));
+                return;
+            }
+            text.append(piece);
+        });
+    });
+}
