Read no bodies on the listeners for checks, lookups and metrics

Cause: Node's parser read the body to drop it, chunk by chunk.

Change: none of these requests has a body, so one that does is answered, its connection is closed, and what follows is dropped without the parser: below 250 ms in the test.

--- a/gateway/src/auxiliaryServers.ts
+++ b/gateway/src/auxiliaryServers.ts
@@ -1,7 +1,9 @@
+import { lingerOnClose } from "@pistachioreel/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Dialect } from "./dialect.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { HostDirectory } from "./hostDirectory.js";
+import { statedBodyBytes } from "./statedBodyBytes.js";
 
 interface AuxiliaryServersOptions {
     readonly dialect: Dialect;
@@ -57,7 +59,11 @@
 /** Creates a server that destroys the response if its handler throws or rejects. */
 function createHandlerServer(handler: Handler): Server {
     return createServer((request, response) => {
-        request.resume();
+        if (statedBodyBytes(request) !== 0) {
+            // None of these requests has a body; one without an end would keep the process busy.
+            response.shouldKeepAlive = false;
+            lingerOnClose(request);
+        }
         const serve = async () => handler(request, response);
         serve().catch((cause: Error) => response.destroy(cause));
     });
