Keep memory of bodies for others from one workspace or target

Callers saw: while one workspace uploads much and slowly, the uploads of all others at the host are refused with 503; one target that sends large responses without an end has those of all other targets given up.

Cause: one limit for all, first come, first served.

Change: SharedMemory leaves the last quarter of a limit to holders of less than a quarter. Holders are workspaces, or the addresses of callers without one, and for responses the targets. A line in the log (memory-share-exceeded) names a holder once when it is refused, and a gauge gives the memory of bodies of requests.

--- a/forwarding/src/connectionPool.ts
+++ b/forwarding/src/connectionPool.ts
@@ -124,6 +124,7 @@
         const { address, localAddress, matcher, memory, now, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } =
             this.opts;
         this.opts.onOpened?.();
-        return TargetConnection.open({ address, localAddress, matcher, memory, now, connectTimeoutMs }, signal);
+        const opts = { address, localAddress, matcher, memory: memory?.shareOf(address), now, connectTimeoutMs };
+        return TargetConnection.open(opts, signal);
     }
 }
--- a/forwarding/src/responseBody.ts
+++ b/forwarding/src/responseBody.ts
@@ -1,15 +1,15 @@
 import { GrowingBuffer } from "@pistachioreel/runtime";
 import type { ContentSink } from "./contentSink.js";
 import type { ResponseFault } from "./responseFault.js";
-import type { ResponseMemory } from "./responseMemory.js";
+import type { ResponseMemoryShare } from "./responseMemoryShare.js";
 
 interface ResponseBodyOptions {
     /** Maximum length in bytes. */
     readonly maxBytes: number;
     /** Length that the head states, if it does. */
     readonly statedBytes?: number | undefined;
-    /** Memory that all response bodies share. */
-    readonly memory?: ResponseMemory | undefined;
+    /** Memory for the response bodies of the target. */
+    readonly memory?: ResponseMemoryShare | undefined;
 }
 
 /** Collects the body of one response. A body that arrives in one piece is not copied. */
--- a/forwarding/src/responseReader.ts
+++ b/forwarding/src/responseReader.ts
@@ -10,7 +10,7 @@
 import type { ResponseFault } from "./responseFault.js";
 import type { ResponseHead } from "./responseHead.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
-import type { ResponseMemory } from "./responseMemory.js";
+import type { ResponseMemoryShare } from "./responseMemoryShare.js";
 import { SizedBody } from "./sizedBody.js";
 import type { TargetResponse } from "./targetResponse.js";
 import { UnframedBody } from "./unframedBody.js";
@@ -21,8 +21,8 @@
     readonly matcher: ResponseMatcher;
     /** Maximum length of the response body. */
     readonly maxBytes: number;
-    /** Memory that all response bodies share. */
-    readonly memory?: ResponseMemory;
+    /** Memory for the response bodies of the target. */
+    readonly memory?: ResponseMemoryShare;
 }
 
 /**
--- a/forwarding/src/targetConnection.ts
+++ b/forwarding/src/targetConnection.ts
@@ -4,7 +4,7 @@
 import type { ExchangeResult } from "./exchangeResult.js";
 import { headerValue } from "./headerValue.js";
 import type { ResponseMatcher } from "./responseMatcher.js";
-import type { ResponseMemory } from "./responseMemory.js";
+import type { ResponseMemoryShare } from "./responseMemoryShare.js";
 import { ResponseReader } from "./responseReader.js";
 import type { TargetRequest } from "./targetRequest.js";
 
@@ -15,8 +15,8 @@
     readonly localAddress?: string;
     readonly connectTimeoutMs: number;
     readonly matcher: ResponseMatcher;
-    /** Memory that all response bodies share; without it, only each body is limited. */
-    readonly memory?: ResponseMemory;
+    /** Memory for the response bodies of the target; without it, only each body is limited. */
+    readonly memory?: ResponseMemoryShare;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
--- a/forwarding/test/endlessResponses.test.ts
+++ b/forwarding/test/endlessResponses.test.ts
@@ -1,3 +1,4 @@
+import { SharedMemory } from "@pistachioreel/runtime";
 import { liveBytes } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
@@ -13,9 +14,19 @@
 const MAX_SMALL_CHUNK_BYTES = 256 * 1024;
 const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-function createReader({ kind = "own" as "own" | "stray", memory = new ResponseMemory({ maxBytes: 64 * MB }) } = {}) {
+function createMemory(maxBytes: number): ResponseMemory {
+    return new ResponseMemory(new SharedMemory({ maxBytes }));
+}
+
+function createReader({ kind = "own" as "own" | "stray", memory = createMemory(64 * MB), target = "t-1" } = {}) {
     const matcher = { matchResponse: () => kind };
-    return new ResponseReader({ requestId: "1", method: "GET", matcher, maxBytes: MAX_BODY_BYTES, memory });
+    return new ResponseReader({
+        requestId: "1",
+        method: "GET",
+        matcher,
+        maxBytes: MAX_BODY_BYTES,
+        memory: memory.shareOf(target),
+    });
 }
 
 /** Sends a head and then the same bytes again and again. Returns the bytes read until the reader gave up. */
@@ -91,7 +102,7 @@
     });
 
     it("count with the memory that they take, and give it back", () => {
-        const memory = new ResponseMemory({ maxBytes: 8 * MB });
+        const memory = createMemory(8 * MB);
         const reader = createReader({ memory });
         reader.read(Buffer.from(CHUNKED_HEAD));
         const sizes = Array.from({ length: 64 }, () => "10000\r\n");
@@ -104,7 +115,7 @@
     });
 
     it("share a limit of memory, which leaves room for usual responses and is free again afterwards", () => {
-        const memory = new ResponseMemory({ maxBytes: 8 * MB });
+        const memory = createMemory(8 * MB);
         const head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
         const endless = Array.from({ length: 4 }, () => createReader({ memory }));
         const read = endless.reduce((sum, reader) => sum + bytesUntilInvalid(reader, head, "b"), 0);
@@ -116,4 +127,12 @@
         large.read(Buffer.from(`HTTP/1.1 200 OK\r\nContent-Length: ${4 * MB}\r\n\r\n`));
         assert.equal(large.read(Buffer.alloc(4 * MB)), "complete");
     });
+
+    it("of one target leave memory for large responses of others", () => {
+        const memory = createMemory(8 * MB);
+        const head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+        const endless = Array.from({ length: 4 }, () => createReader({ memory, target: "faulty" }));
+        endless.forEach(reader => bytesUntilInvalid(reader, head, "b"));
+        assert.equal(createReader({ memory, target: "sound" }).read(fullResponse(2 * MB)), "complete");
+    });
 });
--- a/gateway/src/gateway.ts
+++ b/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import type { Logger } from "@pistachioreel/logging";
 import { newIncarnation, type PeerIdentity, WebSocketMesh } from "@pistachioreel/peering";
 import { ColdTargetLimiter, Placement } from "@pistachioreel/placement";
-import { listen, monotonicNow, parseEndpoint } from "@pistachioreel/runtime";
+import { listen, monotonicNow, parseEndpoint, SharedMemory } from "@pistachioreel/runtime";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnnouncedHost } from "./announcedHost.js";
@@ -65,6 +65,7 @@
     private readonly limits: ReplicatedLimits;
     private readonly workspaceLimits: WorkspaceLimits;
     private readonly targets: TargetState;
+    private readonly bodyMemory: SharedMemory;
     private readonly responseMemory: ResponseMemory;
     private readonly connectionPools: TargetConnectionPools;
     private readonly reach: TargetReach;
@@ -121,7 +122,13 @@
             signal,
         });
         const memoryBytes = settings.memoryMb * BYTES_PER_MB;
-        this.responseMemory = new ResponseMemory({ maxBytes: memoryBytes * RESPONSE_MEMORY_SHARE });
+        const shareMemory = (share: number, kind: string) =>
+            new SharedMemory({
+                maxBytes: memoryBytes * share,
+                onRefused: holder => logger.warn({ event: "memory-share-exceeded", fields: { kind, holder } }),
+            });
+        this.bodyMemory = shareMemory(BODY_MEMORY_SHARE, "requests");
+        this.responseMemory = new ResponseMemory(shareMemory(RESPONSE_MEMORY_SHARE, "responses"));
         this.connectionPools = new TargetConnectionPools({
             localAddress,
             dialect,
@@ -148,7 +155,7 @@
             endsAt: () => this.endsAt,
             metrics,
             logger,
-            maxBufferedBytes: memoryBytes * BODY_MEMORY_SHARE,
+            bodyMemory: this.bodyMemory,
             now: monotonicNow,
         });
         this.detourListener = new DetourListener({ token: this.detourToken, listener: this.listener });
@@ -204,8 +211,9 @@
             directory,
             lookupLifetimeMs: Math.min(MAX_LOOKUP_LIFETIME_MS, settings.maxLookupLifetime),
         });
-        const { targets: { registry }, listener, platformState, reach } = this;
-        registerGauges(metrics, { registry, listener, mesh, view: links.view, platform, platformState, reach });
+        const { targets: { registry }, listener, platformState, reach, bodyMemory } = this;
+        const view = links.view;
+        registerGauges(metrics, { registry, listener, mesh, view, platform, platformState, reach, bodyMemory });
     }
 
     /** Opens the listeners, connects to other hosts and starts following the store. Rejects if an address is in use. */
--- a/gateway/src/registerGauges.ts
+++ b/gateway/src/registerGauges.ts
@@ -1,6 +1,7 @@
 import type { FleetView } from "@pistachioreel/fleet";
 import type { PeerMesh } from "@pistachioreel/peering";
 import type { TargetRegistry } from "@pistachioreel/placement";
+import type { SharedMemory } from "@pistachioreel/runtime";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { PlatformAccess } from "./platformAccess.js";
 import type { PlatformState } from "./platformState.js";
@@ -16,12 +17,14 @@
     readonly platform: PlatformAccess;
     readonly platformState: PlatformState;
     readonly reach: TargetReach;
+    readonly bodyMemory: SharedMemory;
 }
 
 /** Registers the gauges of a gateway host, which are read at each scrape. */
 export function registerGauges(metrics: GatewayMetrics, sources: GaugeSources): void {
-    const { listener, registry, view, mesh, platform, platformState, reach } = sources;
+    const { listener, registry, view, mesh, platform, platformState, reach, bodyMemory } = sources;
     metrics.addGauge("running_requests", "Requests that are running", () => listener.running);
+    metrics.addGauge("request_body_bytes", "Memory of buffered request bodies", () => bodyMemory.used);
     metrics.addGauge("targets", "Targets that are known", () => registry.size);
     metrics.addGauge("known_hosts", "Hosts whose requests are known, this one included", () => view.hostCount);
     metrics.addGauge("linked_hosts", "Other hosts with a working link", () => mesh.peers().length);
--- a/gateway/src/requestBodyBuffer.ts
+++ b/gateway/src/requestBodyBuffer.ts
@@ -1,5 +1,5 @@
 import { Failure } from "@pistachioreel/result-code";
-import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
+import { GrowingBuffer, PieceCount, type SharedMemory } from "@pistachioreel/runtime";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import { statedBodyBytes } from "./statedBodyBytes.js";
@@ -13,25 +13,28 @@
 }
 
 interface ReadOptions {
+    /** Who sends the body; no holder can take all of the memory. */
+    readonly holder: string;
     /** Largest body that is accepted, in bytes. */
     readonly maxBytes: number;
     /** Time within which all of the body must arrive, in ms. */
     readonly timeoutMs: number;
 }
 
-/** Buffers request bodies, so that they can be sent again to another target, within a limit for all together. */
+/** Buffers request bodies, so that they can be sent again to another target, within a limit for all together that no sender can use up. */
 export class RequestBodyBuffer {
-    private reservedBytes = 0;
-
-    /** @param maxReservedBytes Most memory of all buffered bodies together, in bytes. */
-    constructor(private readonly maxReservedBytes: number) {}
+    /** @param memory Memory for all buffered bodies together. */
+    constructor(private readonly memory: SharedMemory) {}
 
     /**
      * Reads the complete body of a request. A failure releases what was read of it.
      *
      * Failures: `bodyTooLarge`, `bodyFragmented`, `memoryFull`, `requestTimeout`, and `requestMalformed` if the connection closed before the body's end.
      */
-    async read(request: IncomingMessage, { maxBytes, timeoutMs }: ReadOptions): Promise<Result<BufferedBody, Failure>> {
+    async read(
+        request: IncomingMessage,
+        { holder, maxBytes, timeoutMs }: ReadOptions,
+    ): Promise<Result<BufferedBody, Failure>> {
         const statedBytes = statedBodyBytes(request);
         if (statedBytes === 0) {
             const bytes = request.headers["content-length"] === undefined ? undefined : Buffer.alloc(0);
@@ -41,7 +44,7 @@
         const pieces = new PieceCount();
         let reservedBytes = 0;
         const release = () => {
-            this.reservedBytes -= reservedBytes;
+            this.memory.release(holder, reservedBytes);
             reservedBytes = 0;
             body.clear();
         };
@@ -53,10 +56,9 @@
                 return new Failure("bodyFragmented");
             }
             const addedBytes = body.capacityWith(chunk.length) - body.capacity;
-            if (this.reservedBytes + addedBytes > this.maxReservedBytes) {
+            if (!this.memory.tryTake(holder, addedBytes)) {
                 return new Failure("memoryFull");
             }
-            this.reservedBytes += addedBytes;
             reservedBytes += addedBytes;
             body.append(chunk);
             return undefined;
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -1,7 +1,7 @@
 import { type DesiredState, type Route, routeKey, TrafficSplitter, type Workspace } from "@pistachioreel/desired-state";
 import type { Logger } from "@pistachioreel/logging";
 import { Failure } from "@pistachioreel/result-code";
-import { failureFromParserError, rejectMalformedRequest } from "@pistachioreel/runtime";
+import { failureFromParserError, rejectMalformedRequest, type SharedMemory } from "@pistachioreel/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
@@ -30,8 +30,8 @@
     readonly endsAt: () => number;
     readonly metrics: GatewayMetrics;
     readonly logger: Logger;
-    /** Maximum size of all buffered request bodies together. */
-    readonly maxBufferedBytes: number;
+    /** Memory for all buffered request bodies together. */
+    readonly bodyMemory: SharedMemory;
     /** Monotonic time in ms. */
     readonly now: () => number;
 }
@@ -68,7 +68,7 @@
 
     constructor(private readonly opts: RequestListenerOptions) {
         this.admission = new RequestAdmission(opts);
-        this.bodyBuffer = new RequestBodyBuffer(opts.maxBufferedBytes);
+        this.bodyBuffer = new RequestBodyBuffer(opts.bodyMemory);
         this.eventLoopBarrier = new EventLoopBarrier({ now: opts.now });
         this.server = createServer({
             keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
@@ -171,7 +171,10 @@
         const { route, workspace, deadlineAt, maxBodyBytes: maxBytes } = admitted;
         exchange.inviteBody();
         const timeoutMs = Math.max(0, deadlineAt - this.opts.now());
-        const body = await this.bodyBuffer.read(request, { maxBytes, timeoutMs });
+        const holder = workspace === undefined
+            ? `caller:${request.socket.remoteAddress}`
+            : `workspace:${workspace.name}`;
+        const body = await this.bodyBuffer.read(request, { holder, maxBytes, timeoutMs });
         if (body.isErr()) {
             this.refuse(exchange, body.error, { route, workspace, deadlineAt });
             return;
--- a/gateway/test/smallPieces.test.ts
+++ b/gateway/test/smallPieces.test.ts
@@ -1,4 +1,5 @@
 import { Failure } from "@pistachioreel/result-code";
+import { SharedMemory } from "@pistachioreel/runtime";
 import { liveBytes, waitUntil } from "@pistachioreel/testing";
 import assert from "node:assert/strict";
 import { createServer, type IncomingMessage } from "node:http";
@@ -20,13 +21,13 @@
     after(() => open.forEach(part => part.stop()));
 
     /** A server that reads bodies, and a connection to it. */
-    async function connectToReader(maxReservedBytes = 64 * MB) {
-        const buffer = new RequestBodyBuffer(maxReservedBytes);
+    async function connectToReader() {
+        const buffer = new RequestBodyBuffer(new SharedMemory({ maxBytes: 64 * MB }));
         const requests: IncomingMessage[] = [];
         const results: (Failure | Buffer | undefined)[] = [];
         const server = createServer((request, response) => {
             requests.push(request);
-            void buffer.read(request, { maxBytes: 32 * MB, timeoutMs: READ_TIMEOUT_MS }).then(result => {
+            void buffer.read(request, { holder: "a", maxBytes: 32 * MB, timeoutMs: READ_TIMEOUT_MS }).then(result => {
                 results.push(result.isOk() ? result.value.bytes : result.error);
                 response.end();
             });
--- a/runtime/src/index.ts
+++ b/runtime/src/index.ts
@@ -9,3 +9,4 @@
 export { PieceCount } from "./pieceCount.js";
 export { rejectMalformedRequest } from "./rejectMalformedRequest.js";
 export { runPeriodically } from "./runPeriodically.js";
+export { SharedMemory } from "./sharedMemory.js";
