Drop what follows a refusal without waking the parser

Cause: after an early refusal the request was resumed until the next turn of the event loop, so that its parser could read up to 2 MB of each connection meanwhile, chunk by chunk.

Change: the parser loses the socket first, and then the socket is read again.

--- a/runtime/src/lingerOnClose.ts
+++ b/runtime/src/lingerOnClose.ts
@@ -16,9 +16,7 @@
     // Node's HTTP server calls this after the last response of a connection.
     socket.destroySoon = () => {
         socket.end();
-        // Restarts a socket that was paused because nobody read the request.
-        request.removeAllListeners("data").resume();
-        setImmediate(() => discardIncoming(socket));
+        discardIncoming(socket);
         const timer = setTimeout(() => socket.destroy(), LINGER_MS);
         socket.once("end", () => socket.destroy()).once("close", () => clearTimeout(timer));
     };
@@ -33,5 +31,7 @@
         if (discardedBytes > MAX_DISCARDED_BYTES) {
             socket.destroy();
         }
-    });
+    }).resume();
+    // Restarts a socket that was paused because nobody read the request; `resume` alone does not, as its read has not ended.
+    socket._read(0);
 }
