--- a/gateway/src/detour.ts
+++ b/gateway/src/detour.ts
@@ -6,6 +6,7 @@
     type ResponseMemory,
 } from "@pistachioreel/forwarding";
 import { Failure, resultCodes } from "@pistachioreel/result-code";
+import { allowedRegions } from "./allowedRegions.js";
 import { detourHeaders } from "./detourHeaders.js";
 import type { DetourHost } from "./detourHost.js";
 import type { Dialect } from "./dialect.js";
@@ -84,14 +85,16 @@
         }
     }
 
-    /** The nearest host, of those at the same distance the one with the fewest requests of this host. */
-    private choose({ body }: RelayedRequest, excluded: ReadonlySet<string>): DetourHost | undefined {
-        if ((body?.length ?? 0) > MAX_BODY_BYTES) {
+    /** The nearest host in a region that may get the request, of those at the same distance the one with the fewest requests of this host. */
+    private choose(request: RelayedRequest, excluded: ReadonlySet<string>): DetourHost | undefined {
+        const regions = allowedRegions(request);
+        if ((request.body?.length ?? 0) > MAX_BODY_BYTES) {
             return undefined;
         }
         const runningAt = ({ address }: DetourHost) => this.known.get(address)?.running ?? 0;
         const usable = shuffled(this.opts.hosts())
-            .filter(host => !excluded.has(host.hostId) && runningAt(host) < MAX_RUNNING_PER_HOST);
+            .filter(host => !excluded.has(host.hostId) && runningAt(host) < MAX_RUNNING_PER_HOST)
+            .filter(({ region }) => regions === undefined || regions.includes(region));
         return usable.toSorted((a, b) => this.distanceTo(a) - this.distanceTo(b) || runningAt(a) - runningAt(b))[0];
     }
 
--- a/gateway/src/requestRelay.ts
+++ b/gateway/src/requestRelay.ts
@@ -5,6 +5,7 @@
 import type { Placement, PlacementRequest, Target } from "@pistachioreel/placement";
 import { Failure } from "@pistachioreel/result-code";
 import { ok } from "neverthrow";
+import { allowedRegions } from "./allowedRegions.js";
 import type { Detour } from "./detour.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { isServerError } from "./isServerError.js";
@@ -349,12 +350,12 @@
 }
 
 function placementOf(request: RelayedRequest, excluded: ReadonlySet<string>): PlacementRequest {
-    const { service, route, object, workspace, body, objectiveAt, deadlineAt } = request;
+    const { service, route, object, body, objectiveAt, deadlineAt } = request;
     return {
         service,
         route: routeKey(route),
         object,
-        regions: commonRegions(route.regions, workspace?.regions ?? []),
+        regions: allowedRegions(request),
         excluded,
         bodyBytes: body?.length ?? 0,
         objectiveMs: route.objectiveMs,
@@ -362,9 +363,3 @@
         deadlineAt,
     };
 }
-
-/** Intersection of two lists of regions, where an empty list allows all; `undefined` if all are allowed. */
-function commonRegions(a: readonly string[], b: readonly string[]): readonly string[] | undefined {
-    const lists = [a, b].filter(list => list.length > 0);
-    return lists.length === 0 ? undefined : lists.reduce((common, list) => common.filter(name => list.includes(name)));
-}
