--- a/review/src/downloadClient.ts
+++ b/review/src/downloadClient.ts
@@ -6,6 +6,8 @@
     readonly id: string;
     readonly path: string;
     readonly key: string;
+    /** Object that the request concerns; none by default. */
+    readonly object?: string;
     /** Time between two reads of the channel, in ms. */
     readonly readEveryMs: number;
 }
@@ -23,7 +25,7 @@
 const HEAD_END = "\r\n\r\n";
 
 /** Asks for a file and reads it at the pace of a slow link, to the end of the channel or of the stated length. */
-export function download({ address, id, path, key, readEveryMs }: DownloadOptions): Promise<Download> {
+export function download({ address, id, path, key, object, readEveryMs }: DownloadOptions): Promise<Download> {
     const [host = "", port] = address.split(":");
     return new Promise(resolve => {
         const pieces: Buffer[] = [];
@@ -55,6 +57,7 @@
                 `X-Request-Id: ${id}`,
                 "X-Deadline-Ms: 8000",
                 `Authorization: Token ${key}`,
+                ...(object === undefined ? [] : [`Cookie: X-Affinity-Key=${object}`]),
                 "Connection: close",
             ].join("\r\n") + HEAD_END,
         );
