Show that a burst of downloads makes a gateway reset answers that are being sent

Cause: responses that are being sent count with their whole size until the last byte; above a tenth of the machine's memory the oldest one's connection is reset, though its caller reads.

--- a/review/src/downloadClient.ts
+++ b/review/src/downloadClient.ts
@@ -10,6 +10,8 @@
     readonly object?: string;
     /** Time between two reads of the channel, in ms. */
     readonly readEveryMs: number;
+    /** Whether the channel may carry further requests; `false` by default. */
+    readonly isKept?: boolean;
 }
 
 /** What a client has got of an answer, and how its channel has ended. */
@@ -25,7 +27,8 @@
 const HEAD_END = "\r\n\r\n";
 
 /** Asks for a file and reads it at the pace of a slow link, to the end of the channel or of the stated length. */
-export function download({ address, id, path, key, object, readEveryMs }: DownloadOptions): Promise<Download> {
+export function download(opts: DownloadOptions): Promise<Download> {
+    const { address, id, path, key, object, readEveryMs, isKept = false } = opts;
     const [host = "", port] = address.split(":");
     return new Promise(resolve => {
         const pieces: Buffer[] = [];
@@ -44,8 +47,18 @@
                 end,
             });
         };
+        let receivedBytes = 0;
+        let wholeBytes = Infinity;
         socket.on("data", piece => {
             pieces.push(piece);
+            receivedBytes += piece.length;
+            if (isKept && pieces.length === 1) {
+                wholeBytes = wholeLength(piece);
+            }
+            if (receivedBytes >= wholeBytes) {
+                finish("orderly");
+                return;
+            }
             socket.pause();
             setTimeout(() => socket.resume(), readEveryMs);
         });
@@ -58,8 +71,15 @@
                 "X-Deadline-Ms: 8000",
                 `Authorization: Token ${key}`,
                 ...(object === undefined ? [] : [`Cookie: X-Affinity-Key=${object}`]),
-                "Connection: close",
+                ...(isKept ? [] : ["Connection: close"]),
             ].join("\r\n") + HEAD_END,
         );
     });
 }
+
+/** Length of the answer with its head, if the first bytes of it state a length; infinite otherwise. */
+function wholeLength(start: Buffer): number {
+    const headEnd = start.indexOf(HEAD_END);
+    const length = /^content-length: (\d+)$/im.exec(start.toString("latin1", 0, Math.max(0, headEnd)))?.[1];
+    return length === undefined ? Infinity : headEnd + HEAD_END.length + Number(length);
+}
