--- a/review/src/cookieCrowdProgram.ts
+++ b/review/src/cookieCrowdProgram.ts
@@ -36,4 +36,5 @@
 for (let client = 0; client < Number(clients); client++) {
     void read(client);
 }
+process.stdout.on("error", () => process.exit());
 setInterval(() => process.stdout.write(`${JSON.stringify({ sent, ...counts })}\n`), COUNTS_EVERY_MS);
--- a/review/src/crowdMemoryTrial.ts
+++ b/review/src/crowdMemoryTrial.ts
@@ -2,6 +2,7 @@
 import { StoreStandIn } from "../../platform/test/storeStandIn.js";
 import { CrowdChannel } from "./crowdChannel.js";
 import { crowdRequestHead } from "./crowdRequestHead.js";
+import { runToExit } from "./runToExit.js";
 import { TrialChild } from "./trialChild.js";
 import { trialDesiredState } from "./trialDocuments.js";
 import { MACHINE_MEMORY_MB, TrialGateway } from "./trialGateway.js";
@@ -101,7 +102,4 @@
     return samplesAbove > 0 ? 1 : 0;
 }
 
-run().then(code => process.exit(code), (cause: unknown) => {
-    process.stderr.write(`the case could not run: ${String(cause)}\n`);
-    process.exit(2);
-});
+runToExit(run);
--- a/review/src/resetAnswersTrial.ts
+++ b/review/src/resetAnswersTrial.ts
@@ -2,6 +2,7 @@
 import { StoreStandIn } from "../../platform/test/storeStandIn.js";
 import { BrokenOffServer } from "./brokenOffServer.js";
 import { download } from "./downloadClient.js";
+import { runToExit } from "./runToExit.js";
 import { trialDesiredState } from "./trialDocuments.js";
 import { TrialGateway } from "./trialGateway.js";
 import { TrialRecord } from "./trialRecord.js";
@@ -99,7 +100,4 @@
     return wrong.length > 0 ? 1 : 0;
 }
 
-run().then(code => process.exit(code), (cause: unknown) => {
-    process.stderr.write(`the case could not run: ${String(cause)}\n`);
-    process.exit(2);
-});
+runToExit(run);
--- a/review/src/tenantNamesTrial.ts
+++ b/review/src/tenantNamesTrial.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { StoreStandIn } from "../../platform/test/storeStandIn.js";
 import { CrowdChannel } from "./crowdChannel.js";
+import { runToExit } from "./runToExit.js";
 import { TenantServer } from "./tenantServer.js";
 import { trialDesiredState } from "./trialDocuments.js";
 import { TrialGateway } from "./trialGateway.js";
@@ -101,7 +102,4 @@
     return wrong.length > 0 ? 1 : 0;
 }
 
-run().then(code => process.exit(code), (cause: unknown) => {
-    process.stderr.write(`the case could not run: ${String(cause)}\n`);
-    process.exit(2);
-});
+runToExit(run);
--- a/review/src/trialChild.ts
+++ b/review/src/trialChild.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
+import { trialGuard } from "./trialGuard.js";
 
 /** Another program of a trial in a process of its own, which ends with the trial. */
 export class TrialChild {
@@ -13,6 +14,7 @@
         this.child = spawn(process.execPath, [`target/review-2/${program}.cjs`, ...args], {
             stdio: ["ignore", "pipe", "inherit"],
         });
+        trialGuard.watchProcess(this.child);
         process.once("exit", () => this.end());
         const lines = createInterface({ input: this.child.stdout! });
         lines.on("line", line => this.lastLine = line);
--- a/review/src/trialGateway.ts
+++ b/review/src/trialGateway.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { freeListenerAddresses } from "../../platform/test/freeListenerAddresses.js";
+import { trialGuard } from "./trialGuard.js";
 
 interface TrialGatewayOptions {
     readonly hostId: string;
@@ -67,6 +68,8 @@
         const child = spawn(process.execPath, ["--max-old-space-size=200", "target/gateway.cjs", file], {
             stdio: ["ignore", "ignore", "inherit"],
         });
+        trialGuard.watchProcess(child);
+        trialGuard.watchFolder(folder);
         const gateway = new TrialGateway(child, folder, addresses);
         process.once("exit", () => gateway.kill());
         await gateway.waitUntilReady();
--- a/review/src/uploadCrowdProgram.ts
+++ b/review/src/uploadCrowdProgram.ts
@@ -33,4 +33,5 @@
 for (let client = 0; client < Number(clients); client++) {
     void upload(client);
 }
+process.stdout.on("error", () => process.exit());
 setInterval(() => process.stdout.write(`${JSON.stringify({ sent, ...counts })}\n`), COUNTS_EVERY_MS);
