Move the reset of connections to the runtime package

Tests of other packages need targets that reset a connection without ending it in order first, as the gateway does for callers. No change of behaviour.

--- a/gateway/src/callerConnections.ts
+++ b/gateway/src/callerConnections.ts
@@ -1,11 +1,10 @@
 import { Failure } from "@pistachioreel/result-code";
-import { rejectMalformedRequest } from "@pistachioreel/runtime";
+import { rejectMalformedRequest, resetConnection } from "@pistachioreel/runtime";
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { CallerConnection } from "./callerConnection.js";
 import type { ListenerLimits } from "./listenerLimits.js";
-import { resetConnection } from "./resetConnection.js";
 
 interface CallerConnectionsOptions {
     /** Most connections; above, the one that has been without work for the longest time is closed. */
--- a/gateway/src/unsentResponses.ts
+++ b/gateway/src/unsentResponses.ts
@@ -1,5 +1,5 @@
+import { resetConnection } from "@pistachioreel/runtime";
 import type { ServerResponse } from "node:http";
-import { resetConnection } from "./resetConnection.js";
 
 /** Memory of a response besides its body. */
 const RESPONSE_OVERHEAD_BYTES = 1_024;
--- a/runtime/src/index.ts
+++ b/runtime/src/index.ts
@@ -8,5 +8,6 @@
 export { parseEndpoint } from "./parseEndpoint.js";
 export { PieceCount } from "./pieceCount.js";
 export { rejectMalformedRequest } from "./rejectMalformedRequest.js";
+export { resetConnection } from "./resetConnection.js";
 export { runPeriodically } from "./runPeriodically.js";
 export { SharedMemory } from "./sharedMemory.js";
