Count a response without a length as lost if its connection was reset

Cause: when fewer bytes arrive than Node's buffer holds and the connection is closed in both directions, Node reports its end without another read, which would have told of the reset. TargetConnection took `end` for an orderly end, and that for the end of the body.

A process that dies while it reads an upload may end its connections in order and reset only what comes after; so the response counts only once all of the request has been written.

--- a/forwarding/src/targetConnection.ts
+++ b/forwarding/src/targetConnection.ts
@@ -7,6 +7,7 @@
 import type { ResponseMemoryShare } from "./responseMemoryShare.js";
 import { ResponseReader } from "./responseReader.js";
 import type { TargetRequest } from "./targetRequest.js";
+import { wasReset } from "./wasReset.js";
 
 interface TargetConnectionOptions {
     /** `address:port` of the target. */
@@ -54,7 +55,14 @@
         return new Promise(resolve => {
             const { address: host, port } = parseEndpoint(opts.address);
             const { localAddress } = opts;
-            const socket = connect({ host, port, noDelay: true, ...(localAddress && { localAddress }) });
+            // Half-open, so that a request is still written after the target has ended its side.
+            const socket = connect({
+                host,
+                port,
+                noDelay: true,
+                allowHalfOpen: true,
+                ...(localAddress && { localAddress }),
+            });
             const finish = (reason?: string) => {
                 clearTimeout(timer);
                 signal.removeEventListener("abort", onAbort);
@@ -118,7 +126,7 @@
             };
             this.running = { reader, finish };
             signal.addEventListener("abort", onAbort);
-            this.socket.write(encodeRequest(request));
+            this.socket.write(encodeRequest(request), error => this.handleWritten(error));
         });
     }
 
@@ -145,11 +153,30 @@
 
     /** An orderly end of the connection completes a response without a length; a reset does not. */
     private handleEnd(): void {
-        const { running } = this;
-        if (running !== undefined && running.reader.finish() === "complete") {
-            this.complete(running);
+        const { running, socket } = this;
+        if (running === undefined || running.reader.finish() !== "complete") {
+            this.fail("the target ended the connection");
+            return;
+        }
+        if (socket.writableLength > 0) {
+            // `handleWritten` decides: a process that dies may end its connections in order, and reset only what is sent after.
+            return;
+        }
+        if (wasReset(socket)) {
+            this.fail("the target reset the connection");
+            return;
+        }
+        this.complete(running);
+    }
+
+    /** Handles the end of the connection if that came before the request had been written. */
+    private handleWritten(error: Error | null | undefined): void {
+        if (error) {
+            this.fail(error.message);
+        }
+        else if (this.socket.readableEnded) {
+            this.handleEnd();
         }
-        this.fail("the target ended the connection");
     }
 
     private complete({ reader, finish }: RunningExchange): void {
