Refuse responses in other transfer encodings than chunks at entry hosts

Such a body ends with its connection, and undici completes it at an end and at a reset alike. The attempt looked only for the name of the field.

Evidence: the four cases of brokenResponses.test.ts ended as `complete` with the part passed on before, and end as `cut` (4002) with nothing passed on now. The same test shows that the status 000 and names with blanks or control bytes were refused already.

--- a/delivery/src/attempt.ts
+++ b/delivery/src/attempt.ts
@@ -1,4 +1,4 @@
-import { holdsOtherResponse } from "@pistachioreel/forwarding";
+import { bodyFramingOf, holdsOtherResponse } from "@pistachioreel/forwarding";
 import { GrowingBuffer, PieceCount } from "@pistachioreel/runtime";
 import { createHash, type Hash } from "node:crypto";
 import type { ServerResponse } from "node:http";
@@ -92,7 +92,7 @@
         }
         else if (!this.isFramed(rawHeaders)) {
             this.unframed = true;
-            controller.abort(new Error("the response has neither a content length nor a transfer encoding"));
+            controller.abort(new Error("the response has neither a content length nor chunks"));
         }
     }
 
@@ -196,10 +196,11 @@
         this.opts.response.writeHead(status, [...headers, REQUEST_ID_HEADER, this.opts.requestId, ...lengthHeader]);
     }
 
-    /** False for a response that ends with its connection, as one cut off by a crash of its target looks the same. */
+    /** False for a response that ends with its connection, which undici takes for complete also if it was reset. */
     private isFramed(rawHeaders: readonly string[]): boolean {
-        return !this.hasBody(this.head.status) || headerValue(rawHeaders, "content-length") !== undefined ||
-            headerValue(rawHeaders, "transfer-encoding") !== undefined;
+        const head = { status: this.head.status, minorVersion: 1, headers: rawHeaders };
+        const framing = bodyFramingOf(head, this.opts.method);
+        return framing.isOk() && framing.value.kind !== "unframed";
     }
 
     private hasBody(status: number): boolean {
--- a/forwarding/src/index.ts
+++ b/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export { bodyFramingOf } from "./bodyFramingOf.js";
 export { ConnectionPool } from "./connectionPool.js";
 export { endToEndHeaders } from "./endToEndHeaders.js";
 export type { ExchangeResult } from "./exchangeResult.js";
