Send names of workspaces and targets to targets as UTF-8

With two targets, two such requests were enough for requests of all other workspaces to be refused with 503 (3007): the broken heads made both targets look lost.

Cause: the heads of requests are strings with one character for each byte, since that is what Node's parser makes of the bytes of callers. Names from the store are text. Both were written as Latin-1, which keeps the lower byte of each UTF-16 unit. That of č is a carriage return, that of Ċ a line feed. The id of a target in X-Expect-Instance had the same fault.

Evidence: X-Tenant had the bytes d7 d1 d8 da ..., the lower bytes of U+10D7 U+10D1 U+10D8 U+10DA; a store that is decoded wrongly would give e1 83 97 .... Nothing else of the name was lost, so it was whole until the head was written. Heads of callers go through unchanged.

Fix: text is encoded as UTF-8 where it becomes a header, so that two names never have the same bytes. Latin-1 for names that fit, as before, would give "Ã©" and "é" the same ones. A head with a character that is not one byte, or with a control character, is no longer written: the request fails with an error and its connection goes back to the pool.

--- a/forwarding/src/connectionPool.ts
+++ b/forwarding/src/connectionPool.ts
@@ -53,14 +53,15 @@
         if (typeof connection === "string") {
             return { end: "unsent", reason: connection };
         }
-        const request = createRequest();
-        if (request === undefined) {
+        try {
+            const request = createRequest();
+            return request === undefined
+                ? { end: "unsent", reason: "withdrawn", isWithdrawn: true }
+                : await connection.exchange(request, signal);
+        }
+        finally {
             this.release(connection);
-            return { end: "unsent", reason: "withdrawn", isWithdrawn: true };
         }
-        const result = await connection.exchange(request, signal);
-        this.release(connection);
-        return result;
     }
 
     /** Opens a connection to check whether the target accepts one; it is kept for later requests. */
--- a/forwarding/src/targetConnection.ts
+++ b/forwarding/src/targetConnection.ts
@@ -101,11 +101,16 @@
         return this.isUsable;
     }
 
-    /** Sends the request and reads its response. An abort closes the connection, so that the target stops the work. */
+    /**
+     * Sends the request and reads its response. An abort closes the connection, so that the target stops the work.
+     *
+     * @throws TypeError if a header cannot be sent; nothing has been sent then.
+     */
     exchange(request: TargetRequest, signal: AbortSignal): Promise<ExchangeResult> {
         if (!this.isUsable || signal.aborted) {
             return Promise.resolve({ end: "unsent", reason: signal.aborted ? "cancelled" : "connection closed" });
         }
+        const bytes = encodeRequest(request);
         return new Promise(resolve => {
             const { matcher, memory } = this.opts;
             const reader = new ResponseReader({
@@ -126,7 +131,7 @@
             };
             this.running = { reader, finish };
             signal.addEventListener("abort", onAbort);
-            this.socket.write(encodeRequest(request), error => this.handleWritten(error));
+            this.socket.write(bytes, error => this.handleWritten(error));
         });
     }
 
--- a/forwarding/src/targetRequest.ts
+++ b/forwarding/src/targetRequest.ts
@@ -4,7 +4,7 @@
     readonly method: string;
     /** Path and query, as the caller sent them. */
     readonly path: string;
-    /** Alternating names and values. */
+    /** Alternating names and values, with one character for each byte; see `encodeHeaderText`. */
     readonly headers: readonly string[];
     readonly body: Buffer | undefined;
 }
--- a/gateway/src/dialect.ts
+++ b/gateway/src/dialect.ts
@@ -32,7 +32,7 @@
 export interface Dialect extends ResponseMatcher {
     /** Parses the metadata of a caller's request. Never fails; what is missing or invalid is `undefined`. */
     readRequest(request: IncomingMessage): CallerRequest;
-    /** Headers of a request to a target, as alternating names and values. */
+    /** Headers of a request to a target, as alternating names and values with one character for each byte. */
     targetHeaders(opts: TargetHeaderOptions): string[];
     /** A request that every target responds to and none runs, to find out whether it can be reached. */
     pingRequest(): TargetRequest;
