Refuse requests whose workspace has a name that no header can hold

What callers saw: requests of a workspace " bank" or "bank\t" ran as those of the workspace "bank", which was there too; with "bank\r\nX-Tenant: small", targets got two headers; with a NUL, or half of a surrogate pair, the caller got 502.

Cause: a name was written into a header whatever it holds, but the recipient of a header removes blanks at its ends, ends it at a line end, and can't be told half of a surrogate pair.

Evidence: X-Tenant as the target got it, at: "bank", "bank", "bank, small". Since names are sent as UTF-8, those with control characters got 502 and logged an error; the others ran as before.

Fix: such a request is refused when its head has been read, as not run (3034), and the log line names the workspace. The desired state stays in force for all others, so one name can't stop the changes of an operator.

--- a/forwarding/src/index.ts
+++ b/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export { headerValues } from "./headerValues.js";
 export { holdsOtherResponse } from "./holdsOtherResponse.js";
 export { HOP_BY_HOP_HEADERS } from "./hopByHopHeaders.js";
+export { isHeaderText } from "./isHeaderText.js";
 export type { ResponseMatcher } from "./responseMatcher.js";
 export { ResponseMemory } from "./responseMemory.js";
 export type { TargetRequest } from "./targetRequest.js";
--- a/gateway/src/requestAdmission.ts
+++ b/gateway/src/requestAdmission.ts
@@ -1,4 +1,5 @@
 import type { DesiredState } from "@pistachioreel/desired-state";
+import { isHeaderText } from "@pistachioreel/forwarding";
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
@@ -31,8 +32,8 @@
     /**
      * Admits a request, and counts it against the limit of its workspace.
      *
-     * Failures: `headerTooLarge`, `notReady`, `requestMalformed`, `routeUnknown`, `keyMissing`, `keyRejected`, `bodyTooLarge`,
-     * `hostLeaving` and `rateExceeded`.
+     * Failures: `headerTooLarge`, `notReady`, `requestMalformed`, `routeUnknown`, `keyMissing`, `keyRejected`,
+     * `workspaceNameInvalid`, `bodyTooLarge`, `hostLeaving` and `rateExceeded`.
      */
     admit(request: IncomingMessage, exchange: ExchangeHead): Result<AdmittedRequest, HeadRefusal> {
         const state = this.opts.desiredState();
@@ -60,6 +61,9 @@
         if (state.needsKeys && !route.isPublic && workspace === undefined) {
             return err({ failure: new Failure(key === undefined ? "keyMissing" : "keyRejected") });
         }
+        if (workspace !== undefined && !isHeaderText(workspace.name)) {
+            return err({ failure: new Failure("workspaceNameInvalid"), route, workspace });
+        }
         const deadlineAt = arrivedAt + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
         return ok({ id, route, workspace, deadlineAt, maxBodyBytes: state.limits.bodyBytes });
     }
--- a/gateway/src/requestExplainer.ts
+++ b/gateway/src/requestExplainer.ts
@@ -1,4 +1,5 @@
 import type { DesiredState, Route, Workspace } from "@pistachioreel/desired-state";
+import { isHeaderText } from "@pistachioreel/forwarding";
 import { Failure } from "@pistachioreel/result-code";
 import { err, ok, type Result } from "neverthrow";
 import { allowedRegions } from "./allowedRegions.js";
@@ -34,7 +35,10 @@
 export class RequestExplainer {
     constructor(private readonly opts: RequestExplainerOptions) {}
 
-    /** Failures, which are what the caller would get: `notReady`, `routeUnknown`, `keyMissing` and `keyRejected`. */
+    /**
+     * Failures, which are what the caller would get: `notReady`, `routeUnknown`, `keyMissing`, `keyRejected` and
+     * `workspaceNameInvalid`.
+     */
     explain(request: ExplainedRequest): Result<ReturnType<RequestExplainer["explainAdmitted"]>, Failure> {
         const state = this.opts.platformState.stateInForce;
         if (state === undefined) {
@@ -48,6 +52,9 @@
         if (state.needsKeys && !route.isPublic && workspace === undefined) {
             return err(new Failure(request.workspace === undefined ? "keyMissing" : "keyRejected"));
         }
+        if (workspace !== undefined && !isHeaderText(workspace.name)) {
+            return err(new Failure("workspaceNameInvalid"));
+        }
         return ok(this.explainAdmitted(state, route, workspace, request.object));
     }
 
--- a/result-code/src/resultCodes.ts
+++ b/result-code/src/resultCodes.ts
@@ -145,6 +145,13 @@
         "the body arrives in too many small pieces",
         "send it in pieces of 16 bytes or more",
     ),
+    workspaceNameInvalid: code(
+        3034,
+        503,
+        "not run",
+        "targets cannot be told the name of the workspace",
+        "ask the operator to rename the workspace",
+    ),
 
     // 4xxx: requests that may have run
     outcomeUnknown: code(4001, 502, "unknown", "the request may have run", "repeat with the same `Idempotency-Key`"),
