Compare keys, host names and paths of requests as text with the desired state

Cause: the strings of a head have one character for each byte. They were compared with text of the desired state as they were, so they matched only if the operator's text was in ASCII, or in Latin-1 and sent as such.

Fix: a dialect decodes what is compared: as UTF-8, or as Latin-1 if the bytes are not valid UTF-8, so that clients whose library writes Latin-1 are still known. Headers with the key are kept from targets by its bytes as they came, which the dialect now reads from the head itself; the decoded key would not be found in them. So requests no longer carry the key to their attempts.

--- a/forwarding/src/index.ts
+++ b/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 export { bodyFramingOf } from "./bodyFramingOf.js";
 export { ConnectionPool } from "./connectionPool.js";
+export { decodeHeaderText } from "./decodeHeaderText.js";
 export { encodeHeaderText } from "./encodeHeaderText.js";
 export { endToEndHeaders } from "./endToEndHeaders.js";
 export type { ExchangeResult } from "./exchangeResult.js";
--- a/gateway/src/dialect.ts
+++ b/gateway/src/dialect.ts
@@ -11,8 +11,6 @@
     readonly target: Target;
     /** Name of the caller's workspace; `undefined` if no key identifies it, which public routes allow. */
     readonly workspace: string | undefined;
-    /** API key of the caller, which must not reach the target. */
-    readonly key: string | undefined;
 }
 
 /** Location of the caller that looks up hosts. */
@@ -32,7 +30,10 @@
 export interface Dialect extends ResponseMatcher {
     /** Parses the metadata of a caller's request. Never fails; what is missing or invalid is `undefined`. */
     readRequest(request: IncomingMessage): CallerRequest;
-    /** Headers of a request to a target, as alternating names and values with one character for each byte. */
+    /**
+     * Headers of a request to a target, as alternating names and values with one character for each byte. None holds the API key of
+     * the caller.
+     */
     targetHeaders(opts: TargetHeaderOptions): string[];
     /** A request that every target responds to and none runs, to find out whether it can be reached. */
     pingRequest(): TargetRequest;
--- a/gateway/src/relayedRequest.ts
+++ b/gateway/src/relayedRequest.ts
@@ -12,8 +12,6 @@
     readonly route: Route;
     readonly service: string;
     readonly workspace: Workspace | undefined;
-    /** API key of the caller. */
-    readonly key: string | undefined;
     /** Key of the object that the request concerns, unique over all routes; `undefined` without sticky routing. */
     readonly object: string | undefined;
     /** Monotonic time in ms of the route's latency objective; a later response has less value for the caller. */
--- a/gateway/src/requestListener.ts
+++ b/gateway/src/requestListener.ts
@@ -265,7 +265,6 @@
         const service = this.trafficSplitter.chooseService(ownRoute);
         const objectiveAt = arrivedAt + route.objectiveMs -
             this.waitEstimator.waitedMs(routeKey(route), caller.deadlineMs);
-        const { key } = caller;
         const object = objectKey(caller, route);
         const isDetoured = detour !== undefined;
         return {
@@ -277,7 +276,6 @@
             route,
             service,
             workspace,
-            key,
             object,
             objectiveAt,
             deadlineAt,
--- a/gateway/src/targetAttempt.ts
+++ b/gateway/src/targetAttempt.ts
@@ -155,13 +155,12 @@
         if (this.context.statements.hasDeclinedSince(this.target, this.startedAt)) {
             return undefined;
         }
-        const { id, method, url: path, body, rawHeaders, workspace, key, deadlineAt } = this.request;
+        const { id, method, url: path, body, rawHeaders, workspace, deadlineAt } = this.request;
         const headers = this.context.dialect.targetHeaders({
             rawHeaders,
             deadlineMs: Math.max(1, Math.floor(deadlineAt - this.context.now())),
             target: this.target,
             workspace: workspace?.name,
-            key,
         });
         return { id, method, path, headers, body };
     }
--- a/gateway/test/evidenceHost.ts
+++ b/gateway/test/evidenceHost.ts
@@ -91,7 +91,6 @@
         route: { ...routeContent(), isIdempotent: false },
         service: "svc",
         workspace: undefined,
-        key: undefined,
         object: undefined,
         objectiveAt: clock.now + 250,
         deadlineAt: clock.now + 2_000,
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -126,7 +126,6 @@
         route: routeContent(),
         service: "svc",
         workspace: undefined,
-        key: undefined,
         object: undefined,
         objectiveAt: performance.now() + 250,
         deadlineAt: performance.now() + 2_000,
