Find routes of entry hosts whose paths have letters beyond ASCII

Fix: the path is decoded before it is compared; the target gets it as the caller sent it. Names of workspaces, hosts and keys of entry hosts have ASCII letters only, by their schemas.

Before the fix: the new case of badInput.test.ts failed with 404; 15 others passed.

--- a/entry/src/callerListener.ts
+++ b/entry/src/callerListener.ts
@@ -1,5 +1,6 @@
 import type { Configuration, Route } from "@pistachioreel/config";
 import type { Delivery } from "@pistachioreel/delivery";
+import { decodeHeaderText } from "@pistachioreel/forwarding";
 import type { Membership } from "@pistachioreel/membership";
 import { Failure } from "@pistachioreel/result-code";
 import { failureFromParserError, lingerOnClose, rejectMalformedRequest } from "@pistachioreel/runtime";
@@ -278,8 +279,9 @@
     return query === undefined ? undefined : new URLSearchParams(query).get("client") ?? undefined;
 }
 
+/** Path of a request, without the query, as text. */
 function pathOf(request: IncomingMessage): string {
-    return (request.url ?? "/").split("?", 1)[0] as string;
+    return decodeHeaderText((request.url ?? "/").split("?", 1)[0] as string);
 }
 
 function bearerKey(request: IncomingMessage): string | undefined {
--- a/entry/test/badInput.test.ts
+++ b/entry/test/badInput.test.ts
@@ -122,6 +122,20 @@
     });
 }
 
+test("a path with letters beyond ASCII does not lose its route, and reaches the target as it is", async () => {
+    const reply = await sendRaw([
+        "GET /ფასები/x HTTP/1.1",
+        "host: a",
+        "x-marker: letters",
+        "connection: close",
+        "",
+        "",
+    ]);
+    assert.match(reply, /^HTTP\/1\.1 200 /);
+    const paths = deliveryFleet.runsOf("letters").map(({ path = "" }) => Buffer.from(path, "latin1").toString());
+    assert.deepEqual(paths, ["/ფასები/x"]);
+});
+
 test("a chunked body above the route's limit is refused with 3014 before it reaches a target", async () => {
     const head = ["POST /notes HTTP/1.1", "host: a", MARKER, "transfer-encoding: chunked", ""];
     const chunk = `${(60_000).toString(16)}\r\n${"x".repeat(60_000)}\r\n`;
--- a/testing/src/deliveryFleet.ts
+++ b/testing/src/deliveryFleet.ts
@@ -118,6 +118,7 @@
             { ...route, path: "/stock", methods: ["GET", "HEAD", "POST"], idempotent: true },
             { ...route, path: "/notes", methods: ["POST"], idempotent: true, maxBodyBytes: 100_000 },
             { ...route, path: "/orders", methods: ["POST"], idempotent: false },
+            { ...route, path: "/ფასები", methods: ["GET"], idempotent: true },
         ],
         workspaces: { growers: { rate: 100, burst: 100 } },
     });
