Follow the changes that are made between two pages of a read

What callers saw: nothing that they could tell; targets that had said that they were leaving went on getting their requests, at all hosts that lacked the change, until the target said so in a response or its entry was removed.

Cause: a read of all objects of a kind takes several requests if the store lists them in pages (50 targets a page on the deployments; 489 targets are ten pages and about half a second). An entry of a later page can have a later revision than the first page. FeedCopy advanced its position to that of the newest entry, the watch was started there, and a change made to an object of an earlier page in between was never seen: the copy took itself for complete up to a revision of which it knew only a part. Hosts that got the copy from this one lacked the change too, and no check found it, as it compares positions. Hosts read everything when they start to follow the store in place of another, when the history of their watch is gone (a watch that waits for 20 s without a change loses it, as the store keeps 20 s), and after a restore.

Why this works: only entries up to the position for which a page is complete advance the copy. For a read this is the revision of its first page, so the watch that follows returns all later changes, also those that the read has shown already, and these are dropped as known. The same holds for pages of other hosts.

--- a/gateway/src/feedCopy.ts
+++ b/gateway/src/feedCopy.ts
@@ -24,7 +24,7 @@
     /** @param onChange Called with the entries that changed; an entry without a value is a removal. */
     constructor(private readonly onChange: (changed: readonly FeedEntry<T>[]) => void) {}
 
-    /** Position of the newest known change; 0 if none is known. */
+    /** Position up to which all changes are known; 0 if none is. Some later ones may be known too. */
     get position(): StorePosition {
         return this.newestPosition;
     }
@@ -44,15 +44,20 @@
         return this.liveEntries.some(entry => entry.era < era);
     }
 
-    /** Applies the entries that are newer than the known ones. */
-    apply(entries: readonly FeedEntry<T>[]): void {
+    /**
+     * Applies the entries that are newer than the known ones. Entries later than the page's position do not advance this copy: a read
+     * of several requests shows some of the changes made meanwhile, and not all.
+     */
+    apply({ entries, ...end }: FeedPage<T>): void {
         const changed = entries.flatMap(entry => {
             const known = this.entries.get(entry.name);
             return known === undefined || supersedes(entry, known) ? [withLastOrder(entry, known)] : [];
         });
         for (const entry of changed) {
             this.entries.set(entry.name, entry);
-            this.advance(entry);
+            if (comparePositions(entry, end) <= 0) {
+                this.advance(entry);
+            }
         }
         this.changeCount += changed.length;
         this.pruneTombstones();
--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -76,7 +76,7 @@
         return Math.round(this.opts.now() - this.respondedAt);
     }
 
-    /** Position of the newest known change; 0 if none is known. */
+    /** Position up to which all changes are known; 0 if none is. */
     get position(): StorePosition {
         return this.copy.position;
     }
@@ -153,9 +153,9 @@
     }
 
     /** Applies the entries of another host that are newer. */
-    merge({ entries, ...position }: FeedPage<T>): void {
-        this.copy.apply(entries);
-        this.copy.advance(position);
+    merge(page: FeedPage<T>): void {
+        this.copy.apply(page);
+        this.copy.advance(page);
         this.synced = true;
     }
 
@@ -213,12 +213,12 @@
         return entries.length > 0 ? this.batchDelayMs : 0;
     }
 
-    private applyChanges({ entries, era, revision }: FeedPage<T>): void {
+    private applyChanges(page: FeedPage<T>): void {
         this.rereads = 0;
-        this.copy.apply(entries);
-        if (entries.some(({ value }) => value === undefined)) {
+        this.copy.apply(page);
+        if (page.entries.some(({ value }) => value === undefined)) {
             // A removal may have a revision at which other hosts do not miss it.
-            this.copy.advance({ era, revision });
+            this.copy.advance(page);
         }
     }
 
@@ -228,7 +228,8 @@
         const isRestored = era > (this.storePosition?.era ?? era) || this.copy.hasEntriesBefore(era);
         const isSettled = now() >= this.settlesAt;
         this.mustReadAgain = false;
-        this.copy.apply([...entries, ...this.copy.removalsImpliedBy(page, { includesEarlierEras: isSettled })]);
+        const removals = this.copy.removalsImpliedBy(page, { includesEarlierEras: isSettled });
+        this.copy.apply({ ...page, entries: [...entries, ...removals] });
         if (era > this.copy.position.era) {
             this.copy.advance({ era, revision });
         }
--- a/gateway/test/feedFollower.test.ts
+++ b/gateway/test/feedFollower.test.ts
@@ -116,6 +116,38 @@
         assert.equal(follower.hasSynced, true);
     });
 
+    it("follows changes made between two pages of a read, as a target that leaves then would get requests for good", async () => {
+        const stop = new AbortController();
+        const values = new Map<string, string | undefined>();
+        const positions: number[] = [];
+        const change = entry("a", 6, "leaving");
+        const follower = new FeedFollower<string>({
+            name: "things",
+            feed: {
+                read: async () =>
+                    ok({ entries: [entry("a", 3, "ready"), entry("z", 9, "ready")], era: 1, revision: 4 }),
+                follow: (after, _waitMs, signal) =>
+                    after < change.revision
+                        ? Promise.resolve(ok({ entries: [change], era: 1, revision: 9 }))
+                        : new Promise(resolve =>
+                            signal!.addEventListener("abort", () => resolve(err(new Failure("storeUnreachable"))))
+                        ),
+            },
+            onChange: changed => {
+                changed.forEach(({ name, value }) => values.set(name, value));
+                positions.push(follower.position.revision);
+            },
+            hostCount: () => 1,
+            logger: new Logger("follower-test", { write: () => undefined }),
+            now: () => performance.now(),
+            signal: stop.signal,
+        });
+        void follower.run();
+        await waitUntil(() => values.get("a") === "leaving", WAIT_TIMEOUT_MS);
+        assert.deepEqual(positions, [3, 6], "other hosts take the copy for complete up to its position");
+        stop.abort();
+    });
+
     it("keeps an object received from a peer when an older list of the store lacks it", async () => {
         const { values } = await follow([ok({ entries: [], era: 1, revision: 5 })], {
             before: follower => follower.merge({ entries: [entry("a", 7, "a")], era: 1, revision: 7 }),
