Count from the relay's last report when a host follows the store itself

What callers saw: nothing that they could tell; for up to 3.5 s after a host lost its relays it sent requests to targets that had left since, although it reached the store and could have known. The drain bounds of the deployments are 2 to 4 s; changes of the desired state come to such a host as late.

Cause: two times that were each thought of as the whole one followed each other. A relay's report counted for 2 s, and the 1.5 s after which the host follows the store itself began only when the report no longer counted.

Why this works: the 1.5 s count from the arrival of the last report, which is the last moment at which the host could know that it lacked nothing. Reports come at least every 0.45 s, so a host with a working relay doesn't begin to follow the store.

--- a/gateway/src/fleetLinks.ts
+++ b/gateway/src/fleetLinks.ts
@@ -33,8 +33,8 @@
 const CHECK_INTERVAL_MS = 200;
 /** At the first start of the fleet, hosts do not take each other's place as relays before all have registered. */
 const FIRST_START_MS = 2_500;
-/** A host without a link to a relay follows the store itself after this time. */
-const MAX_UNLINKED_MS = 1_500;
+/** A host that no relay has reported to for this time follows the store itself. */
+const MAX_REPORT_AGE_MS = 1_500;
 /** A relay that has heard of no check of the store for this time follows it itself, as the hosts that do may be lost. */
 const MAX_CHECK_AGE_MS = 1_500;
 /** A host that lacks changes which its relays have follows the store itself after this time. */
@@ -52,13 +52,14 @@
     private addresses = new Map<string, string>();
     private hasRole = false;
     private relay = false;
-    private lastLinkedAt: number;
+    /** Monotonic time in ms of the newest report of a relay, or the one from which on reports are expected. */
+    private reportedAt: number;
     private loggedRole: { readonly relay: boolean; readonly followsStore: boolean; } | undefined;
 
     constructor(private readonly opts: FleetLinksOptions) {
         const { hostId, availabilityZone, region, mesh, observer, now } = opts;
         this.startedAt = now();
-        this.lastLinkedAt = this.startedAt + (opts.isFirstStart ? FIRST_START_MS : 0);
+        this.reportedAt = this.startedAt + (opts.isFirstStart ? FIRST_START_MS : 0);
         this.topology = new RelayTopology({
             hostId,
             availabilityZone,
@@ -161,8 +162,9 @@
                 return address === undefined ? [] : [{ hostId, address, isOnlyOpener: !isRelay }];
             }));
         }
-        if (this.view.relayReport !== undefined) {
-            this.lastLinkedAt = Math.max(this.lastLinkedAt, now());
+        const { relayReport } = this.view;
+        if (relayReport !== undefined) {
+            this.reportedAt = Math.max(this.reportedAt, now() - relayReport.ageMs);
         }
         gate.set(this.shouldFollowStore);
         this.logRole();
@@ -196,9 +198,9 @@
 
     private get shouldFollowStore(): boolean {
         const { now, lagMs, hostId, storeCheckAgeMs = () => Infinity } = this.opts;
-        const isUnlinked = now() - this.lastLinkedAt > MAX_UNLINKED_MS;
+        const isUnreported = now() - this.reportedAt > MAX_REPORT_AGE_MS;
         const isNeeded = this.topology.followers.includes(hostId) || storeCheckAgeMs() > MAX_CHECK_AGE_MS;
-        return this.hasRole && this.relay && isNeeded || !this.relay && isUnlinked || lagMs() > MAX_LAG_MS;
+        return this.hasRole && this.relay && isNeeded || !this.relay && isUnreported || lagMs() > MAX_LAG_MS;
     }
 
     private get zonePeers(): string[] {
--- a/gateway/test/fleetLinks.test.ts
+++ b/gateway/test/fleetLinks.test.ts
@@ -77,6 +77,16 @@
         assert.equal(host.gate.isOpen, false);
     });
 
+    it("let a host follow the store 1.6 s after the last report of a relay, since it may miss a target that leaves", () => {
+        const host = createLinks("h-3");
+        host.receiveReport("h-0");
+        for (host.clock.now = 0; host.clock.now < 1_600; host.clock.now += 200) {
+            host.update();
+        }
+        host.update();
+        assert.equal(host.gate.isOpen, true);
+    });
+
     it("let a host follow the store whose relay knows of changes but does not deliver them", () => {
         const host = createLinks("h-3", { lagMs: () => 2_000 });
         host.receiveReport("h-0");
