Send no request to a target that has left while a connection was opened

What callers saw: nothing that they could tell; a request that was placed just before its target left was sent up to 0.8 s (the connect timeout) after the host knew, to a target that was draining, removed or in an evacuated zone.

Cause: after a connection has been opened, only what the target had stated itself was looked at again, not its entry and the evacuations.

Evidence: three cases of gateway/test/requestRelay.test.ts (draining, removed, evacuated) failed before and pass now.

Why this works: the request is withdrawn unless the registry would still offer this incarnation of the target, and placed anew, as it was already after a statement of the target. A withdrawn request has not been sent, so this holds for requests that must run once too.

--- a/gateway/src/targetAttempt.ts
+++ b/gateway/src/targetAttempt.ts
@@ -149,10 +149,11 @@
 
     /**
      * Called when a connection is open, as opening one takes part of the time left, which is sent to the target. Meanwhile the
-     * target may have stated, in another response, that it wants no requests; then there is none to send.
+     * target may have left or stated, in another response, that it wants no requests; then there is none to send.
      */
     private buildRequest() {
-        if (this.context.statements.hasDeclinedSince(this.target, this.startedAt)) {
+        const { registry, statements } = this.context;
+        if (!registry.isUsable(this.target) || statements.hasDeclinedSince(this.target, this.startedAt)) {
             return undefined;
         }
         const { id, method, url: path, body, rawHeaders, workspace, deadlineAt } = this.request;
--- a/gateway/test/requestRelay.test.ts
+++ b/gateway/test/requestRelay.test.ts
@@ -1,6 +1,6 @@
 import { CrashSuspects, RetryBudget } from "@pistachioreel/delivery";
 import { Logger } from "@pistachioreel/logging";
-import { type Target, targetKey } from "@pistachioreel/placement";
+import { type Target, targetKey, type TargetRegistry } from "@pistachioreel/placement";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { routeContent } from "../../desired-state/test/stateContent.js";
@@ -194,6 +194,42 @@
         }
     });
 
+    const changes: Record<string, (registry: TargetRegistry, target: Target) => void> = {
+        "announces that it leaves": (registry, target) => registry.put({ ...target, isDraining: true }),
+        "is removed": (registry, { id }) => registry.remove(id),
+        "is evacuated": (registry, { availabilityZone }) => registry.setEvacuatedZones(new Set([availabilityZone])),
+    };
+    for (const [change, apply] of Object.entries(changes)) {
+        it(`does not send a request to a target that ${change} while a connection to it is opened`, async () => {
+            const [leaving, other] = [newTarget("t"), newTarget("u", { availabilityZone: "n-b" })];
+            const sentTo: string[] = [];
+            const { relay, registry } = newRelay({
+                targets: [leaving, other],
+                poolOf: ({ id }) => ({
+                    exchange: async (createRequest: () => unknown) => {
+                        apply(registry, leaving);
+                        if (createRequest() === undefined) {
+                            return { end: "unsent", reason: "withdrawn", isWithdrawn: true };
+                        }
+                        sentTo.push(id);
+                        return {
+                            end: "answered",
+                            response: { status: 200, headers: [], body: Buffer.alloc(0), isFramed: true },
+                        };
+                    },
+                }),
+                dialect: { interpretResponse: () => ({ statement: undefined, outcome: "result" }) },
+            });
+            await Promise.all(
+                Array.from(
+                    { length: 8 },
+                    (_, object) => relay.run(newRequest({ object: String(object) }), new AbortController().signal),
+                ),
+            );
+            assert.deepEqual(new Set(sentTo), new Set(["u"]));
+        });
+    }
+
     it("does not run an order twice because of a refusal that may be a late second response to an earlier one", async () => {
         const { relay } = newRelay(withRefusals(true));
         const order = newRequest({ route: { ...routeContent(), isIdempotent: false } });
--- a/placement/src/targetRegistry.ts
+++ b/placement/src/targetRegistry.ts
@@ -76,6 +76,12 @@
         }
     }
 
+    /** Whether this incarnation of the target may get requests: it is registered, and neither draining nor in an evacuated zone. */
+    isUsable({ id, incarnation }: Target): boolean {
+        const target = this.get(id);
+        return target?.incarnation === incarnation && !this.isWithdrawn(target);
+    }
+
     /** Targets of a service that are neither draining nor in an evacuated availability zone, ordered by id. */
     usableTargets(service: string): readonly Target[] {
         if (this.byServiceRevision !== this.revision) {
@@ -85,10 +91,14 @@
         return this.byService.get(service) ?? [];
     }
 
+    private isWithdrawn({ isDraining, availabilityZone }: Target): boolean {
+        return isDraining || this.evacuatedZones.has(availabilityZone);
+    }
+
     private groupUsable(): Map<string, readonly Target[]> {
         const groups = new Map<string, Target[]>();
         for (const { target } of this.known.values()) {
-            if (target.isDraining || this.evacuatedZones.has(target.availabilityZone)) {
+            if (this.isWithdrawn(target)) {
                 continue;
             }
             const group = groups.get(target.service) ?? [];
