Do not let a target's earlier report undo that it leaves

A store may carry a write out seconds after its call had no answer; a report `ready` that is carried out after `draining`, or after the entry's removal, put the target back into use until its next report, up to 1.5 s later.

Cause: within an era of the store, hosts followed the entry with the later revision, whatever its writer had numbered it.

Why this works: a report with a lower number of the same start of the target is older than the known one and is dropped. Reports of another start are followed as before, since its number starts anew and its clock may have gone back.

--- a/platform-store/test/supersedes.test.ts
+++ b/platform-store/test/supersedes.test.ts
@@ -17,6 +17,21 @@
         known: { revision: 5 },
         expected: false,
     },
+    "a report that was written before the known one and carried out late does not undo it": {
+        candidate: { revision: 6, order: [1, 7] },
+        known: { revision: 5, order: [1, 8] },
+        expected: false,
+    },
+    "a report that was carried out late does not bring a removed object back": {
+        candidate: { revision: 6, order: [1, 7] },
+        known: { revision: 5, order: [1, 8], ...removed },
+        expected: false,
+    },
+    "a writer that has started again is followed also if its clock has gone back": {
+        candidate: { revision: 6, order: [1, 2] },
+        known: { revision: 5, order: [2, 8] },
+        expected: true,
+    },
     "a removal at the revision of the last change is applied": {
         candidate: { revision: 5, ...removed },
         known: { revision: 5 },
