--- a/gateway/src/deferredRemovals.ts
+++ b/gateway/src/deferredRemovals.ts
@@ -34,7 +34,8 @@
 
     constructor(private readonly opts: DeferredRemovalsOptions) {}
 
-    apply(changed: readonly FeedEntry<Target>[]): void {
+    /** Applies changes and returns the longest deferral of a removal among them, in ms; 0 if none is deferred. */
+    apply(changed: readonly FeedEntry<Target>[]): number {
         const { registry } = this.opts;
         const removed = changed.filter(({ name, value }) => value === undefined && registry.get(name) !== undefined);
         const longestDelayMs = this.delayFor(
@@ -46,6 +47,7 @@
                 registry.put(value);
             }
         }
+        let deferredMs = 0;
         for (const { name, lastSeenAt } of removed) {
             const delayMs = Math.min(longestDelayMs, this.drainTimeLeft(lastSeenAt));
             if (delayMs === 0 || registry.get(name)?.isDraining === true) {
@@ -53,8 +55,10 @@
             }
             else {
                 this.defer(name, delayMs);
+                deferredMs = Math.max(deferredMs, delayMs);
             }
         }
+        return deferredMs;
     }
 
     /** Time in ms for which a target may still get requests that was last known to exist then. */
--- a/gateway/src/feedFollower.ts
+++ b/gateway/src/feedFollower.ts
@@ -273,6 +273,9 @@
         this.mustReadAgain = false;
         const removals = this.copy.removalsImpliedBy(page, { includesEarlierEras: isSettled })
             .map(entry => withLastSeen(entry, lastSeenAt));
+        const newest = entries.reduce((max, entry) => Math.max(max, entry.revision), 0);
+        const fields = { feed: name, revision, newest, entries: entries.length, removed: removals.length };
+        logger.info({ event: "store-read", fields });
         this.copy.apply({ ...page, entries: [...entries, ...removals] });
         if (era > this.copy.position.era) {
             this.copy.advance({ era, revision });
--- a/gateway/src/platformState.ts
+++ b/gateway/src/platformState.ts
@@ -234,8 +234,15 @@
     }
 
     private applyTargets(changed: readonly FeedEntry<Target>[]): void {
-        this.deferredRemovals.apply(changed);
+        const deferredMs = this.deferredRemovals.apply(changed);
         this.logTargets(changed);
+        if (deferredMs > 0) {
+            const removed = changed.filter(({ value }) => value === undefined).length;
+            this.opts.logger.info({
+                event: "target-removals-deferred",
+                fields: { removed, ms: Math.round(deferredMs) },
+            });
+        }
         this.opts.onTargets();
     }
 
@@ -252,6 +259,8 @@
             const fields = {
                 target: name,
                 revision,
+                incarnation: value?.incarnation,
+                sequence: value?.sequence,
                 service: value?.service,
                 zone: value?.availabilityZone,
                 state: value === undefined ? "removed" : value.isDraining ? "draining" : "ready",
